--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,189 @@
+// Package config reads and checks the platform's settings file.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+
+	"lilacthread/internal/clock"
+)
+
+// Peer is another controller.
+type Peer struct {
+	Name string `json:"host_name"`
+	Zone string `json:"location"`
+	Addr string `json:"endpoint"`
+}
+
+// Team is a team's guarantee and limit; 0 means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective is one aim of the users.
+type Objective struct {
+	Kind   string  `json:"kind"`
+	Class  string  `json:"class"`
+	Within float64 `json:"within_s"`
+	Share  float64 `json:"share"`
+	Times  float64 `json:"times"`
+}
+
+// Config is the platform's settings file.
+type Config struct {
+	Name       string `json:"host_name"`
+	Zone       string `json:"location"`
+	Listen     string `json:"listen"`
+	PeerListen string `json:"peer_listen"`
+	Peers      []Peer `json:"peers"`
+	Endpoints  struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"endpoints"`
+	Params struct {
+		Size       int         `json:"size"`
+		Zones      []string    `json:"zones"`
+		Teams      []Team      `json:"teams"`
+		Objectives []Objective `json:"objectives"`
+		Workers    struct {
+			Report   float64 `json:"report_s"`
+			Lease    float64 `json:"lease_s"`
+			GangWait float64 `json:"gang_wait_s"`
+			GangPeer float64 `json:"gang_peer_s"`
+			Cancel   float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS     float64 `json:"rps"`
+			ListLag float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Resources struct {
+			CPUShare float64 `json:"cpu_share"`
+			MemoryMB float64 `json:"memory_mb"`
+			FDLimit  int     `json:"fd_limit"`
+		} `json:"resources"`
+		ClockError float64 `json:"clock_error_ms"`
+	} `json:"params"`
+}
+
+// Load reads the file at path and checks it.
+func Load(path string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(raw)
+}
+
+// Parse reads settings; the error names the first field that is wrong.
+func Parse(raw []byte) (*Config, error) {
+	c := new(Config)
+	if err := json.Unmarshal(raw, c); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	p := &c.Params
+	texts := []struct{ name, value string }{{"host_name", c.Name}, {"location", c.Zone}}
+	for _, t := range texts {
+		if t.value == "" {
+			return fmt.Errorf("%s: missing", t.name)
+		}
+	}
+	addrs := []struct{ name, value string }{
+		{"listen", c.Listen}, {"peer_listen", c.PeerListen},
+		{"endpoints.cloud", c.Endpoints.Cloud}, {"endpoints.state", c.Endpoints.State},
+	}
+	for i, peer := range c.Peers {
+		if peer.Name == "" || peer.Name == c.Name {
+			return fmt.Errorf("peers[%d].host_name: %q is missing or this node's own", i, peer.Name)
+		}
+		addrs = append(addrs, struct{ name, value string }{fmt.Sprintf("peers[%d].endpoint", i), peer.Addr})
+	}
+	for _, a := range addrs {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return fmt.Errorf("%s: %q is not an address and port", a.name, a.value)
+		}
+	}
+	numbers := []struct {
+		name            string
+		value, min, max float64
+	}{
+		{"params.size", float64(p.Size), 1, 99},
+		{"params.workers.report_s", p.Workers.Report, 0.05, 600},
+		{"params.workers.lease_s", p.Workers.Lease, 1, 3600},
+		{"params.workers.gang_wait_s", p.Workers.GangWait, 0, 86400},
+		{"params.workers.gang_peer_s", p.Workers.GangPeer, 0, 3600},
+		{"params.workers.cancel_s", p.Workers.Cancel, p.Workers.Lease, 86400},
+		{"params.state.rps", p.State.RPS, 1, 1e6},
+		{"params.state.write_rps", p.State.WriteRPS, 1, 1e6},
+		{"params.state.value_kb", p.State.ValueKB, 1, 1024},
+		{"params.state.txn_ops", float64(p.State.TxnOps), 4, 10000},
+		{"params.cloud.rps", p.Cloud.RPS, 0.01, 1e6},
+		{"params.cloud.list_lag_s", p.Cloud.ListLag, 0, 3600},
+		{"params.resources.cpu_share", p.Resources.CPUShare, 0.01, 1024},
+		{"params.resources.memory_mb", p.Resources.MemoryMB, 32, 1 << 24},
+		{"params.resources.fd_limit", float64(p.Resources.FDLimit), 64, 1 << 24},
+		{"params.clock_error_ms", p.ClockError, 0, 1e7},
+	}
+	for i, t := range p.Teams {
+		name := fmt.Sprintf("params.teams[%d]", i)
+		if t.Name == "" {
+			return fmt.Errorf("%s.name: missing", name)
+		}
+		for _, f := range []struct {
+			name  string
+			value float64
+		}{{".cpus", t.CPUs}, {".cpus_max", t.CPUsMax}, {".gpus", t.GPUs}, {".gpus_max", t.GPUsMax}} {
+			numbers = append(numbers, struct {
+				name            string
+				value, min, max float64
+			}{name + f.name, f.value, 0, 1e9})
+		}
+	}
+	for i, o := range p.Objectives {
+		name := fmt.Sprintf("params.objectives[%d].", i)
+		numbers = append(numbers, struct {
+			name            string
+			value, min, max float64
+		}{name + "within_s", o.Within, 0, 1e7}, struct {
+			name            string
+			value, min, max float64
+		}{name + "share", o.Share, 0, 1})
+	}
+	for _, n := range numbers {
+		if math.IsNaN(n.value) || n.value < n.min || n.value > n.max {
+			return fmt.Errorf("%s: %v is not between %v and %v", n.name, n.value, n.min, n.max)
+		}
+	}
+	if len(p.Zones) == 0 {
+		return fmt.Errorf("params.zones: missing")
+	}
+	if len(p.Teams) == 0 {
+		return fmt.Errorf("params.teams: missing")
+	}
+	return nil
+}
+
+// ReportEvery is the workers' report interval.
+func (c *Config) ReportEvery() clock.Micros { return clock.FromSeconds(c.Params.Workers.Report) }
+
+// WorkerLease is the lease of a worker.
+func (c *Config) WorkerLease() clock.Micros { return clock.FromSeconds(c.Params.Workers.Lease) }
--- /dev/null
+++ b/internal/controller/core.go
@@ -0,0 +1,435 @@
+// Package controller is the owner of all scheduling state: events in,
+// decisions out. A Core runs on one goroutine and does no I/O of its own;
+// everything outside reaches it through Env, so that the same code runs on
+// real sockets and in the simulator's virtual time.
+package controller
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/config"
+	"lilacthread/internal/fleet"
+	"lilacthread/internal/lead"
+	"lilacthread/internal/peer"
+	"lilacthread/internal/policy"
+	"lilacthread/internal/sched"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+	"lilacthread/wire/fb"
+)
+
+// Micros is the project's unit of time.
+type Micros = clock.Micros
+
+// Cloud is the cloud's interface; done runs later on the owner goroutine.
+type Cloud interface {
+	Catalog(done func(store.Outcome, *wire.Catalog))
+	// Rent answers Failed when the cloud has no capacity.
+	Rent(r *wire.RentRequest, done func(store.Outcome, []string))
+	Release(ids []string, done func(store.Outcome))
+	List(after string, limit int, done func(store.Outcome, *wire.MachineList))
+}
+
+// Env is the world outside a Core.
+type Env interface {
+	Now() Micros  // steady clock
+	Wall() Micros // time of day
+	After(d Micros, f func())
+	// Ask sends a message to another controller; done gets nil when no answer
+	// came in time.
+	Ask(node string, m *peer.Msg, timeout Micros, done func(*peer.Msg))
+	State() store.Service
+	Cloud() Cloud
+}
+
+// Answer is the reply to a user.
+type Answer struct {
+	Code       int
+	Status     wire.JobStatus
+	RetryAfter int // seconds; with 429 and 503
+}
+
+// ReportAnswer is the reply to a worker.
+type ReportAnswer struct {
+	Code   int
+	Body   wire.ReportAnswer
+	Leader string // with 421
+}
+
+// Core is one controller.
+type Core struct {
+	env     Env
+	cfg     *config.Config
+	pol     *policy.Policy
+	lead    *lead.Elector
+	writes  *rate.Limiter // puts and deletes
+	calls   *rate.Limiter // requests to the cloud
+	lookups *rate.Limiter // reads of single jobs
+
+	stateSeen Micros // last answer of the state service
+	peers     map[string]*peerInfo
+	strays    map[string]Micros // workers that reported while not leading
+	isReady   bool
+	catalog   []wire.MachineType
+	intake    intake
+
+	// Of the leader.
+	term        uint64
+	electedAt   Micros
+	loaded      bool
+	jobs        map[string]*sched.Job
+	finals      map[string]wire.JobStatus
+	finalsOrder []string
+	machines    map[string]*sched.Machine
+	order       []*sched.Machine // machines by name
+	released    map[string]bool
+	teams       map[string]*sched.Team
+	rates       map[string]float64
+	commit      committer
+	attempts    uint64
+	bids        uint64
+	ordered     map[string]fleet.Rental
+	refused     map[fleet.Kind]Micros
+	cloudPause  Micros
+	releasing   bool
+	toRelease   []string
+	arrivals    map[string]*arrival
+	planSet     bool
+	planned     Micros
+	unplaced    []sched.Unplaced
+	lastReport  Micros
+}
+
+type peerInfo struct {
+	at      Micros
+	stateOK bool
+	reports uint32
+	term    uint64
+}
+
+// arrival smooths the CPUs a second that a class of services asks for.
+type arrival struct {
+	rate float64
+	at   Micros
+	job  *sched.Job
+}
+
+// New makes a controller. Start must be called on the owner goroutine.
+func New(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64) *Core {
+	c := &Core{env: env, cfg: cfg, pol: pol,
+		peers: map[string]*peerInfo{}, strays: map[string]Micros{}}
+	write := cfg.Params.State.WriteRPS * followerShare
+	c.writes = rate.NewLimiter(rate.Limit(write), max(int(write), 4))
+	c.calls = rate.NewLimiter(rate.Limit(cfg.Params.Cloud.RPS*0.9), max(int(cfg.Params.Cloud.RPS), 1))
+	c.lookups = rate.NewLimiter(rate.Limit(cfg.Params.State.RPS*lookupShare), int(cfg.Params.State.RPS*lookupShare)+1)
+	for _, p := range cfg.Peers {
+		c.peers[p.Name] = &peerInfo{at: -clock.Forever}
+	}
+	c.stateSeen = -clock.Forever
+	c.lead = lead.New(env, env.State(), cfg.Name, incarnation, pol.LeaderTTL, lead.Hooks{
+		Elected: c.elected,
+		Lost:    c.lost,
+		Contact: func() { c.stateSeen = env.Now() },
+	})
+	return c
+}
+
+// Shares of the state service's write budget: one leader, the rest followers
+// that only create jobs.
+const (
+	leaderShare   = 0.7
+	followerShare = 0.12
+	lookupShare   = 0.1 // of the request budget, two requests each
+)
+
+// Start begins the controller's work.
+func (c *Core) Start() {
+	c.lead.Start()
+	c.every(clock.Second, c.hello)
+	c.every(500*clock.Millisecond, c.tick)
+	c.loadCatalog()
+}
+
+// every runs f now and then again and again.
+func (c *Core) every(d Micros, f func()) {
+	f()
+	c.env.After(d, func() { c.every(d, f) })
+}
+
+func stdTime(m Micros) time.Time { return time.UnixMicro(int64(m)) }
+
+// serving reports whether this node may answer users from memory and start
+// tasks.
+func (c *Core) serving() bool { return c.loaded && c.lead.Authority() }
+
+// fadeFor is how long a leader that lost touch with the state service may go
+// on renewing worker leases: a successor's cancellations must still hold.
+func (c *Core) fadeFor() Micros {
+	return clock.FromSeconds(c.cfg.Params.Workers.Cancel) - c.cfg.WorkerLease() - 4*c.margin()
+}
+
+// margin covers drift of the clocks over a worker's lease, and processing.
+func (c *Core) margin() Micros { return c.pol.Margin + c.cfg.WorkerLease()/500 }
+
+// keeping reports whether this node may renew worker leases.
+func (c *Core) keeping() bool {
+	return c.lead.Leading() && c.env.Now() < c.lead.Deadline()+max(c.fadeFor(), 0)
+}
+
+// Ready tells the load balancer whether this node can take requests. When all
+// nodes have lost the state service, leaving the rotation helps nobody.
+func (c *Core) Ready() bool {
+	if c.catalog == nil {
+		return false
+	}
+	if c.stateOK() {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.stateOK && c.env.Now()-p.at < 3*clock.Second {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) stateOK() bool { return c.env.Now()-c.stateSeen < 2500*clock.Millisecond }
+
+// hello tells the peers how this node fares, and probes the state service when
+// nothing else did.
+func (c *Core) hello() {
+	now := c.env.Now()
+	if now-c.stateSeen > 700*clock.Millisecond {
+		c.env.State().Get(lead.TermKey, func(o store.Outcome, _ *wire.Item) {
+			if o == store.OK || o == store.Failed {
+				c.stateSeen = c.env.Now()
+			}
+		})
+	}
+	for name := range c.peers {
+		c.env.Ask(name, c.self(fb.KindHello), clock.Second, func(m *peer.Msg) {
+			if m != nil {
+				c.learn(m)
+			}
+		})
+	}
+}
+
+func (c *Core) self(kind fb.Kind) *peer.Msg {
+	now := c.env.Now()
+	reports := uint32(0)
+	for id, at := range c.strays {
+		if now-at < 3*clock.Second {
+			reports++
+		} else {
+			delete(c.strays, id)
+		}
+	}
+	m := &peer.Msg{Kind: kind, Node: c.cfg.Name, StateOK: c.stateOK(), Reports: reports}
+	if c.lead.Leading() {
+		m.Term = c.lead.Term()
+	}
+	return m
+}
+
+func (c *Core) learn(m *peer.Msg) {
+	p := c.peers[m.Node]
+	if p == nil {
+		return
+	}
+	p.at, p.stateOK, p.reports, p.term = c.env.Now(), m.StateOK, m.Reports, m.Term
+	if c.lead.Leading() && m.Term > c.lead.Term() {
+		c.lead.Yield()
+	}
+}
+
+// OnPeer handles a message of another controller.
+func (c *Core) OnPeer(m *peer.Msg, reply func(*peer.Msg)) {
+	c.learn(m)
+	answer := func(a Answer) {
+		r := c.self(fb.KindAnswer)
+		r.Code, r.Job = a.Code, a.Status.ID
+		r.Phase, r.Done, r.Running = a.Status.Phase, a.Status.Done, a.Status.Running
+		reply(r)
+	}
+	switch m.Kind {
+	case fb.KindHello:
+		answer(Answer{Code: 200})
+	case fb.KindStatus:
+		if !c.serving() {
+			answer(unavailable)
+			return
+		}
+		c.statusHere(m.Job, answer)
+	case fb.KindCancel:
+		c.cancelHere(m.Job, answer)
+	case fb.KindSubmit:
+		job, err := wire.DecodeJob(m.Body)
+		if err != nil || !c.stateOK() {
+			answer(unavailable)
+			return
+		}
+		c.submitHere(job, answer)
+	default:
+		answer(Answer{Code: 400})
+	}
+}
+
+// elected begins a term: all state is read again from the state service.
+func (c *Core) elected(term uint64) {
+	now := c.env.Now()
+	c.term, c.electedAt, c.loaded = term, now, false
+	c.lastReport = now
+	c.jobs = map[string]*sched.Job{}
+	c.finals = map[string]wire.JobStatus{}
+	c.finalsOrder = nil
+	c.machines = map[string]*sched.Machine{}
+	c.order = nil
+	c.released = map[string]bool{}
+	c.teams = map[string]*sched.Team{}
+	for _, t := range c.cfg.Params.Teams {
+		c.teams[t.Name] = &sched.Team{Name: t.Name, UseAt: now,
+			Guarantee: sched.Need{CPUs: t.CPUs, GPUs: t.GPUs}, Limit: sched.Need{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
+	}
+	c.rates = map[string]float64{}
+	c.commit = committer{core: c, keys: map[string]*record{}}
+	c.attempts, c.bids = 0, 0
+	c.ordered = map[string]fleet.Rental{}
+	c.refused = map[fleet.Kind]Micros{}
+	c.toRelease, c.releasing = nil, false
+	c.arrivals = map[string]*arrival{}
+	c.unplaced = nil
+	c.setWriteShare(leaderShare)
+	c.load(term)
+}
+
+func (c *Core) lost() {
+	c.loaded = false
+	c.commit.abandon()
+	c.jobs, c.machines, c.order, c.finals = nil, nil, nil, nil
+	c.setWriteShare(followerShare)
+}
+
+func (c *Core) setWriteShare(share float64) {
+	at, limit := stdTime(c.env.Now()), c.cfg.Params.State.WriteRPS*share
+	c.writes.SetLimitAt(at, rate.Limit(limit))
+	c.writes.SetBurstAt(at, max(int(limit), 4))
+}
+
+// during makes a callback that runs only while the same term is led.
+func (c *Core) during(f func()) func() {
+	term := c.term
+	return func() {
+		if c.lead.Leading() && c.term == term {
+			f()
+		}
+	}
+}
+
+// attempt hands out attempt numbers that no leader uses twice.
+func (c *Core) attempt() uint64 {
+	c.attempts++
+	return c.term<<32 | c.attempts
+}
+
+// tick looks after everything that time alone changes.
+func (c *Core) tick() {
+	if !c.lead.Leading() {
+		return
+	}
+	now := c.env.Now()
+	if c.isolated(now) {
+		c.lead.Resign("no worker reaches this node", 15*clock.Second)
+		return
+	}
+	if !c.loaded {
+		return
+	}
+	for _, t := range c.teams {
+		t.Decay(now, c.pol.UseWindow)
+	}
+	c.proveByLease(now)
+	if c.serving() {
+		c.tendMachines(now)
+		c.wake()
+	}
+	c.commit.pump()
+}
+
+// isolated reports whether workers that should report here do not, while this
+// node has lost its peers too or a peer hears them: another node would serve
+// better, although the state service is still reached.
+func (c *Core) isolated(now Micros) bool {
+	quiet := max(3*c.cfg.ReportEvery(), 3*clock.Second)
+	if now-c.lastReport < quiet || now-c.electedAt < 2*quiet {
+		return false
+	}
+	up := slices.ContainsFunc(c.order, func(m *sched.Machine) bool { return m.Up && !m.Releasing })
+	if !up {
+		return false
+	}
+	alone := len(c.peers) > 0
+	for _, p := range c.peers {
+		if now-p.at < quiet {
+			alone = false
+			if p.reports > 0 {
+				return true
+			}
+		}
+	}
+	return alone
+}
+
+// wake asks for a scheduling pass soon.
+func (c *Core) wake() {
+	if c.planSet {
+		return
+	}
+	c.planSet = true
+	wait := max(c.planned+c.pol.Cycle-c.env.Now(), 0)
+	c.env.After(wait, func() {
+		c.planSet = false
+		if c.serving() {
+			c.planned = c.env.Now()
+			c.plan()
+		}
+	})
+}
+
+// plan runs a scheduling pass and hands its decisions on.
+func (c *Core) plan() {
+	now := c.env.Now()
+	var active []*sched.Job
+	for _, j := range c.jobs {
+		if j.Active() {
+			active = append(active, j)
+		}
+	}
+	for i := range c.catalog {
+		if t := &c.catalog[i]; c.rates[t.Name] == 0 {
+			c.rates[t.Name] = max(t.FetchRate, c.pol.FetchRate)
+		}
+	}
+	out := sched.Plan(&sched.Input{
+		Now: now, Fresh: c.fresh(), Jobs: active, Machines: c.order, Teams: c.teams,
+		Rates: c.rates, Attempt: c.attempt,
+		MaxTasks: int(c.cfg.Params.State.ValueKB * 1024 / 250),
+	})
+	for _, pl := range out.Launch {
+		c.saveMachine(pl.Machine, c.during(func() { pl.Committed = true }))
+	}
+	c.unplaced = out.Unplaced
+	c.buy(now)
+	c.commit.pump()
+	if len(out.Launch)+len(out.Stop) > 0 {
+		slog.Debug("plan", "launch", len(out.Launch), "stop", len(out.Stop), "unplaced", len(out.Unplaced))
+	}
+}
+
+// fresh is how old a machine's last report may be for new tasks.
+func (c *Core) fresh() Micros { return 5 * c.cfg.ReportEvery() / 2 }
--- /dev/null
+++ b/internal/controller/machines.go
@@ -0,0 +1,367 @@
+package controller
+
+import (
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/fleet"
+	"lilacthread/internal/sched"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// loadCatalog reads the machine types: the leader asks the cloud now and then
+// and keeps them in the state service, where a node that starts during an
+// outage of the cloud finds them.
+func (c *Core) loadCatalog() {
+	again := 30 * clock.Second
+	if c.catalog == nil {
+		again = clock.Second
+		c.env.State().Get(catalogKey, func(o store.Outcome, it *wire.Item) {
+			if o == store.OK && c.catalog == nil {
+				var cat wire.Catalog
+				if wire.Decode(it.Value, &cat) == nil {
+					c.setCatalog(&cat)
+				}
+			}
+		})
+	}
+	if (c.catalog == nil || c.lead.Leading()) && c.calls.AllowN(stdTime(c.env.Now()), 1) {
+		c.env.Cloud().Catalog(func(o store.Outcome, cat *wire.Catalog) {
+			if o != store.OK {
+				return
+			}
+			c.setCatalog(cat)
+			if c.lead.Leading() && c.loaded {
+				c.commit.put(catalogKey, func() []byte { return wire.Encode(&wire.Catalog{Types: c.catalog}) }, nil)
+			}
+		})
+	}
+	c.env.After(again, c.loadCatalog)
+}
+
+// setCatalog takes valid entries over. Machines keep pointing at their type,
+// so known entries are updated in place.
+func (c *Core) setCatalog(cat *wire.Catalog) {
+	var types []wire.MachineType
+	for _, t := range cat.Types {
+		if t.Name != "" && t.CPUs > 0 && t.MemoryGB > 0 && t.Price > 0 && t.Boot >= 0 {
+			types = append(types, t)
+		}
+	}
+	if len(types) == 0 {
+		return
+	}
+	slices.SortFunc(types, func(a, b wire.MachineType) int { return strings.Compare(a.Name, b.Name) })
+	c.catalog = types
+	for _, m := range c.machines {
+		if t := c.typeNamed(m.Type.Name); t != nil {
+			m.Type = t
+		}
+	}
+}
+
+func (c *Core) typeNamed(name string) *wire.MachineType {
+	for i := range c.catalog {
+		if c.catalog[i].Name == name {
+			return &c.catalog[i]
+		}
+	}
+	return nil
+}
+
+// addMachine enters a machine; nil if its type is unknown.
+func (c *Core) addMachine(id, addr, typ, zone string, spot bool, since Micros) *sched.Machine {
+	t := c.typeNamed(typ)
+	if t == nil {
+		return nil
+	}
+	m := &sched.Machine{ID: id, Addr: addr, Type: t, Zone: zone, Spot: spot, Since: since,
+		Places: map[string]*sched.Placement{}, Images: map[string]Micros{}, Sizes: map[string]float64{},
+		IdleSince: c.env.Now(), Heard: -clock.Forever}
+	c.machines[id] = m
+	return m
+}
+
+func (c *Core) sortMachines() {
+	c.order = c.order[:0]
+	for _, m := range c.machines {
+		c.order = append(c.order, m)
+	}
+	slices.SortFunc(c.order, func(a, b *sched.Machine) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// tendMachines returns the machines that are of no use: idle, silent, failed,
+// drained, or never up.
+func (c *Core) tendMachines(now Micros) {
+	up, silent := 0, 0
+	quiet := Micros(c.pol.SilentReports * float64(c.cfg.ReportEvery()))
+	settled := now-c.electedAt > c.cfg.WorkerLease()
+	for _, m := range c.order {
+		if m.Up && !m.Releasing {
+			up++
+			if now-m.Heard > quiet {
+				silent++
+			}
+		}
+	}
+	in := c.fleetInput(now)
+	for _, m := range c.order {
+		if m.Releasing {
+			continue
+		}
+		boot := clock.FromSeconds(m.Type.Boot)
+		why := ""
+		switch {
+		case m.Failed:
+			why = "failed"
+		case !m.Up && now-m.Since > Micros(float64(boot)*c.pol.BootFactor)+clock.FromSeconds(c.cfg.Params.Cloud.ListLag):
+			why = "never came up"
+		case m.Up && now-m.Heard > quiet && settled && (silent*4 <= up || silent == 1):
+			// Returning it proves at once that its tasks are gone; but when many
+			// are silent the fault is more likely ours.
+			why = "silent"
+		case m.Up && now-m.Heard > c.cfg.WorkerLease()+c.margin() && settled && !m.Busy():
+			why = "silent and empty"
+		case !m.Acked && m.Busy() && now-c.electedAt > 3*c.cfg.WorkerLease()/2:
+			why = "does not acknowledge this term"
+		case m.Busy() || !m.Up:
+		case m.Draining || m.Notice != 0:
+			why = "drained"
+		case now-m.IdleSince > c.pol.Idle && !c.wanted(in, m):
+			why = "idle"
+		}
+		if why != "" {
+			slog.Debug("returning machine", "machine", m.ID, "why", why, "age", (now - m.Since).Seconds())
+			m.Releasing = true
+			c.toRelease = append(c.toRelease, m.ID)
+		}
+	}
+	c.release()
+}
+
+// wanted reports whether an idle machine is worth keeping.
+func (c *Core) wanted(in *fleet.Input, m *sched.Machine) bool {
+	for _, u := range c.unplaced {
+		if u.Job.Active() && u.Job.Allows(m.Type, m.Zone, m.Spot) {
+			return true
+		}
+	}
+	return !m.Spot && in.Spare(m) < in.Headroom
+}
+
+// release returns machines, one call at a time.
+func (c *Core) release() {
+	now := c.env.Now()
+	if c.releasing || len(c.toRelease) == 0 || now < c.cloudPause || !c.calls.AllowN(stdTime(now), 1) {
+		return
+	}
+	c.releasing = true
+	batch := slices.Clone(c.toRelease[:min(len(c.toRelease), 100)])
+	term := c.term
+	c.env.Cloud().Release(batch, func(o store.Outcome) {
+		if !c.lead.Leading() || c.term != term {
+			return
+		}
+		c.releasing = false
+		if o != store.OK {
+			c.cloudPause = c.env.Now() + clock.Second
+			return
+		}
+		c.toRelease = c.toRelease[len(batch):]
+		for _, id := range batch {
+			c.gone(id)
+		}
+		c.sortMachines()
+		c.wake()
+	})
+}
+
+// gone drops a machine that the cloud said is gone, with all on it.
+func (c *Core) gone(id string) {
+	c.released[id] = true
+	m := c.machines[id]
+	if m == nil {
+		return
+	}
+	for _, p := range places(m) {
+		c.leave(p)
+	}
+	delete(c.machines, id)
+	c.saveMachine(m, nil)
+}
+
+// drain stops the work on a machine that should not be used any more. Replicas
+// move at once, batch work may finish.
+func (c *Core) drain(m *sched.Machine) {
+	m.Draining = true
+	for _, p := range places(m) {
+		if p.Job == nil || p.Exited {
+			continue
+		}
+		if p.Job.Service() || p.Job.Spec.Checkpoint > 0 {
+			p.Stopping, p.Grace = true, p.Job.Spec.Save+1
+		}
+	}
+}
+
+// drainForNotice saves what can be saved before the cloud takes a machine;
+// work without checkpoints runs on, it may yet finish.
+func (c *Core) drainForNotice(m *sched.Machine, now Micros) {
+	slog.Debug("spot notice", "machine", m.ID, "in", (m.Notice - now).Seconds())
+	for _, p := range places(m) {
+		j := p.Job
+		switch {
+		case j == nil || p.Exited:
+		case j.Gang(): // the whole gang must be told within gang_peer_s
+			for i := range j.Tasks {
+				if q := j.Tasks[i].Place; q != nil && !q.Stopping {
+					q.Stopping, q.Grace = true, j.Spec.Save+1
+				}
+			}
+		case j.Service() || j.Spec.Checkpoint > 0:
+			p.Stopping, p.Grace = true, j.Spec.Save+1
+		}
+	}
+	c.wake()
+}
+
+func (a *arrival) now(at Micros) float64 {
+	return a.rate * math.Exp(-float64(at-a.at)/float64(arrivalWindow))
+}
+
+func (c *Core) fleetInput(now Micros) *fleet.Input {
+	in := &fleet.Input{Now: now, Catalog: c.catalog, Refused: c.refused, Machines: c.order,
+		Unplaced: c.unplaced, SpotWait: c.pol.SpotWait, Rates: c.rates}
+	for _, bid := range slices.Sorted(maps.Keys(c.ordered)) {
+		in.Ordered = append(in.Ordered, c.ordered[bid])
+	}
+	boot := 0.0
+	for _, t := range c.catalog {
+		boot = max(boot, t.Boot)
+	}
+	for _, class := range slices.Sorted(maps.Keys(c.arrivals)) {
+		a := c.arrivals[class]
+		in.Headroom += a.now(now) * boot * c.pol.Headroom
+		if a.job != nil {
+			in.Service = a.job
+		}
+	}
+	if in.Service == nil { // after a takeover: any service stands for its class
+		for _, j := range c.jobs {
+			if j.Service() && (in.Service == nil || j.ID < in.Service.ID) {
+				in.Service = j
+			}
+		}
+	}
+	return in
+}
+
+// buy rents what the fleet package asks for, as far as the cloud's rate allows.
+func (c *Core) buy(now Micros) {
+	if now < c.cloudPause || now-c.electedAt < clock.Second {
+		return
+	}
+	for _, b := range fleet.Plan(c.fleetInput(now)) {
+		if !c.calls.AllowN(stdTime(now), 1) {
+			return
+		}
+		c.bids++
+		bid := "r-" + strconv.FormatUint(c.term, 10) + "-" + strconv.FormatUint(c.bids, 10)
+		c.ordered[bid] = fleet.Rental{Kind: b.Kind, Count: b.Count}
+		c.rent(&wire.RentRequest{Request: bid, Type: b.Kind.Type, Zone: b.Kind.Zone, Spot: b.Kind.Spot, Count: b.Count}, now)
+	}
+}
+
+// rent sends a rental. Without an answer the same name is sent again: it rents
+// nothing twice.
+func (c *Core) rent(r *wire.RentRequest, since Micros) {
+	term := c.term
+	kind := fleet.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	c.env.Cloud().Rent(r, func(o store.Outcome, ids []string) {
+		if !c.lead.Leading() || c.term != term {
+			return
+		}
+		now := c.env.Now()
+		switch o {
+		case store.OK:
+			slog.Debug("rented", "kind", kind, "asked", r.Count, "got", len(ids))
+			for _, id := range ids {
+				if c.machines[id] == nil && !c.released[id] {
+					if m := c.addMachine(id, "", r.Type, r.Zone, r.Spot, since); m != nil {
+						c.saveMachine(m, nil)
+					}
+				}
+			}
+			c.sortMachines()
+			if len(ids) < r.Count {
+				c.refused[kind] = now + c.pol.Refused
+			}
+			delete(c.ordered, r.Request)
+		case store.Failed:
+			c.refused[kind] = now + c.pol.Refused
+			delete(c.ordered, r.Request)
+		case store.Refused:
+			c.cloudPause = now + clock.Second
+			delete(c.ordered, r.Request)
+		default:
+			c.env.After(clock.Second, func() {
+				if c.lead.Leading() && c.term == term {
+					c.rent(r, since)
+				}
+			})
+			return
+		}
+		c.wake()
+	})
+}
+
+// list compares the cloud's list with what is known: unexpected machines are
+// adopted, failed ones returned.
+func (c *Core) list(term uint64, after string) {
+	if !c.lead.Leading() || c.term != term {
+		return
+	}
+	again := func(d Micros, after string) { c.env.After(d, func() { c.list(term, after) }) }
+	if !c.calls.AllowN(stdTime(c.env.Now()), 1) {
+		again(300*clock.Millisecond, after)
+		return
+	}
+	c.env.Cloud().List(after, 500, func(o store.Outcome, l *wire.MachineList) {
+		if !c.lead.Leading() || c.term != term {
+			return
+		}
+		if o != store.OK {
+			again(2*clock.Second, "")
+			return
+		}
+		now, added := c.env.Now(), false
+		for i := range l.Machines {
+			e := &l.Machines[i]
+			m := c.machines[e.ID]
+			if m == nil && !c.released[e.ID] {
+				if m = c.addMachine(e.ID, e.Addr, e.Type, e.Zone, e.Spot, now-clock.FromSeconds(e.Age)); m != nil {
+					added = true
+					c.saveMachine(m, nil)
+					slog.Info("machine found in the list", "machine", e.ID)
+				}
+			}
+			if m != nil && e.State == wire.MachineFailed {
+				m.Failed = true
+			}
+		}
+		if added {
+			c.sortMachines()
+		}
+		if l.More && len(l.Machines) > 0 {
+			again(0, l.Machines[len(l.Machines)-1].ID)
+			return
+		}
+		again(5*clock.Second, "")
+	})
+}
--- /dev/null
+++ b/internal/controller/reports.go
@@ -0,0 +1,349 @@
+package controller
+
+import (
+	"log/slog"
+	"math"
+	"slices"
+	"strings"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/sched"
+	"lilacthread/wire"
+)
+
+// responseLife is how long a worker waits for the answer to a report; later,
+// commands in it are not executed any more.
+const responseLife = 4 * clock.Second
+
+// OnReport handles a worker's report. Reports are ordered by session and seq:
+// a late one changes nothing.
+func (c *Core) OnReport(r *wire.Report) ReportAnswer {
+	now := c.env.Now()
+	if !c.lead.Leading() {
+		c.strays[r.Machine] = now
+		if c.lead.Leader() == "" {
+			return ReportAnswer{Code: 503}
+		}
+		return ReportAnswer{Code: 421, Leader: c.lead.Leader()}
+	}
+	if r.Token > c.term {
+		c.lead.Yield()
+		return ReportAnswer{Code: 503}
+	}
+	if !c.keeping() {
+		return ReportAnswer{Code: 503}
+	}
+	c.lastReport = now
+	renew := ReportAnswer{Code: 200, Body: wire.ReportAnswer{Token: c.term, Commands: []wire.Command{}}}
+	if !c.loaded {
+		return renew // keeps the worker's tasks alive while the records are read
+	}
+	if c.released[r.Machine] {
+		return ReportAnswer{Code: 503}
+	}
+	m := c.machines[r.Machine]
+	if m == nil {
+		m = c.addMachine(r.Machine, r.Addr, r.Type, r.Zone, r.Spot, now)
+		if m == nil {
+			return ReportAnswer{Code: 503}
+		}
+		c.sortMachines()
+		c.saveMachine(m, nil)
+		slog.Info("machine appeared", "machine", m.ID)
+	}
+	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq {
+		return ReportAnswer{Code: 503}
+	}
+	if !m.Up {
+		m.Up, m.IdleSince = true, now
+		slog.Debug("machine up", "machine", m.ID, "age", (now - m.Since).Seconds())
+	}
+	moved := r.Session > m.Session
+	m.Session, m.Seq, m.Heard, m.Addr = r.Session, r.Seq, now, r.Addr
+	if moved {
+		for _, p := range places(m) {
+			if p.Session < r.Session {
+				c.leave(p)
+			}
+		}
+	}
+	if r.Notice != nil && m.Notice == 0 {
+		m.Notice = now + clock.FromSeconds(*r.Notice)
+		c.drainForNotice(m, now)
+	}
+	if r.Token == c.term {
+		if !m.Acked {
+			m.Acked = true
+			c.wake()
+		}
+		renew.Body.Commands = c.digest(m, r, now)
+	}
+	m.Answered = now
+	return renew
+}
+
+// places lists a machine's placements in a fixed order.
+func places(m *sched.Machine) []*sched.Placement {
+	list := make([]*sched.Placement, 0, len(m.Places))
+	for _, p := range m.Places {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *sched.Placement) int { return strings.Compare(a.Task, b.Task) })
+	return list
+}
+
+// digest takes in an acknowledged report's tasks and gives the commands that
+// answer it. Such a report is complete: no older token can start anything on
+// this machine any more, and our own launches ride only on answers to earlier
+// reports, which the worker has since taken or dropped.
+func (c *Core) digest(m *sched.Machine, r *wire.Report, now Micros) []wire.Command {
+	var forget []wire.Command
+	reported := make(map[string]*wire.TaskReport, len(r.Tasks))
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		p := m.Places[t.Task]
+		if p != nil && p.Attempt == t.Attempt {
+			reported[t.Task] = t
+			continue
+		}
+		if cmd, ok := c.stray(m, t, now); ok {
+			forget = append(forget, cmd)
+		} else {
+			reported[t.Task] = t // adopted
+		}
+	}
+	for _, p := range places(m) {
+		if t := reported[p.Task]; t != nil {
+			c.observe(m, p, t, now)
+			continue
+		}
+		switch {
+		case !p.Sent:
+		case p.Seen, p.Inherited, p.Stopping && now-p.SentAt > responseLife+c.margin():
+			c.leave(p)
+		}
+	}
+	if !c.serving() {
+		return []wire.Command{} // a fading leader starts, stops and forgets nothing
+	}
+	stop, start := []wire.Command{}, []wire.Command(nil)
+	for _, p := range places(m) {
+		over := p.Job == nil || p.Job.Cancelled || p.Job.Ended && !p.Exited
+		switch {
+		case p.Exited:
+		case over || p.Stopping:
+			if !p.Sent {
+				c.leave(p)
+				continue
+			}
+			grace := p.Grace
+			if over {
+				grace = 0
+			}
+			if p.State == wire.TaskSaving && grace > 0 {
+				continue
+			}
+			stop = append(stop, wire.Command{Op: wire.OpStop, Task: p.Task, Attempt: p.Attempt, Grace: &grace})
+		case p.Committed && !p.Seen && p.Session == m.Session && !p.Inherited:
+			p.Sent, p.SentAt = true, now
+			start = append(start, wire.Command{Op: wire.OpStart, Task: p.Task, Attempt: p.Attempt})
+		}
+	}
+	return append(append(stop, forget...), start...)
+}
+
+// stray deals with a reported task that holds no place here: an exited one is
+// forgotten, a live one adopted if its job wants it, or stopped. It reports
+// false when the task was adopted.
+func (c *Core) stray(m *sched.Machine, t *wire.TaskReport, now Micros) (wire.Command, bool) {
+	jobID, index, _ := wire.SplitTask(t.Task)
+	j := c.jobs[jobID]
+	free := j != nil && j.Active() && index < len(j.Tasks) && j.Tasks[index].State == sched.Pending && !j.Gang()
+	if t.State == wire.TaskExited {
+		if !free || t.Cause != wire.CauseDone {
+			return wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt}, true
+		}
+	} else if !free || m.Places[t.Task] != nil {
+		zero := 0.0
+		return wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, Grace: &zero}, true
+	}
+	slog.Info("adopting a task", "task", t.Task, "machine", m.ID)
+	p := &sched.Placement{Job: j, Index: index, Task: t.Task, Attempt: t.Attempt, Machine: m,
+		Session: m.Session, Need: j.Need(), Team: j.Spec.Team, Priority: j.Priority, Image: j.Spec.Image,
+		Committed: true, Sent: true, Inherited: true}
+	j.Queue = slices.DeleteFunc(j.Queue, func(i int32) bool { return int(i) == index })
+	sched.Attach(p, c.teams)
+	c.saveMachine(m, func() {})
+	return wire.Command{}, false
+}
+
+// observe takes in what a report says of a placed task.
+func (c *Core) observe(m *sched.Machine, p *sched.Placement, t *wire.TaskReport, now Micros) {
+	p.Seen, p.State = true, t.State
+	j := p.Job
+	if t.State == wire.TaskRunning || t.State == wire.TaskSaving || t.State == wire.TaskWaiting ||
+		t.State == wire.TaskExited && t.Cause == wire.CauseDone {
+		if p.Running == 0 && t.State != wire.TaskWaiting {
+			p.Running = now
+		}
+		if j != nil {
+			c.learnFetch(m, p, now)
+			m.Touch(p.Image, j.Spec.ImageGB, now)
+		}
+	}
+	if t.State != wire.TaskExited || p.Exited {
+		return
+	}
+	p.Exited = true
+	c.wake()
+	if t.Cause == wire.CauseDone {
+		m.Errors, m.ErrorJobs = 0, nil
+	}
+	if j == nil || !j.Active() || j.Tasks[p.Index].State == sched.Done {
+		c.leave(p)
+		return
+	}
+	switch t.Cause {
+	case wire.CauseDone:
+		c.finished(p, now)
+		return
+	case wire.CauseError:
+		c.failed(m, p, now)
+	case wire.CauseNoRoom, wire.CauseBusy:
+		slog.Info("start refused", "task", p.Task, "machine", m.ID, "cause", t.Cause)
+		m.AvoidTill = now + c.cfg.ReportEvery()
+	case wire.CauseUnknown:
+		j.HoldUntil = now + 5*clock.Second
+	case wire.CauseStopped:
+		if t.Saved && p.Running > 0 {
+			j.Tasks[p.Index].Progress += now - p.Running
+		}
+	}
+	c.leave(p)
+}
+
+// learnFetch smooths a type's fetch rate from the time between launch and
+// running, when only this image was on its way.
+func (c *Core) learnFetch(m *sched.Machine, p *sched.Placement, now Micros) {
+	if _, cached := m.Images[p.Image]; cached || p.SentAt == 0 || p.Job.Spec.ImageGB <= 0 {
+		return
+	}
+	took := (now - p.SentAt - c.cfg.ReportEvery()/2).Seconds()
+	if old := c.rates[m.Type.Name]; took > 0.5 && old > 0 {
+		seen := math.Min(p.Job.Spec.ImageGB/took, 2*old)
+		c.rates[m.Type.Name] = c.pol.Smoothing*seen + (1-c.pol.Smoothing)*old
+	}
+}
+
+// finished records a completed task; nobody hears of it, and the worker is not
+// told to forget it, before that is committed.
+func (c *Core) finished(p *sched.Placement, now Micros) {
+	j := p.Job
+	if p.Running > 0 && p.SentAt > 0 {
+		ran := now - p.Running + j.Tasks[p.Index].Progress
+		j.Estimate = sched.Smooth(c.pol.Smoothing, ran, j.Estimate)
+	}
+	j.Succeeded, j.Backoff = true, 0
+	done := []int{p.Index}
+	if j.Gang() { // a gang completes together
+		done = done[:0]
+		for i := range j.Tasks {
+			done = append(done, i)
+		}
+	}
+	for _, i := range done {
+		if j.Tasks[i].State != sched.Done {
+			j.Tasks[i].State = sched.Done
+			j.DoneCount++
+		}
+	}
+	committed := func() { c.leave(p) }
+	if j.DoneCount == len(j.Tasks) {
+		j.Ended = true
+		c.commitEnd(j, committed)
+		return
+	}
+	c.saveProgress(j, c.during(committed))
+}
+
+// failed blames the machine, or the job when it fails everywhere.
+func (c *Core) failed(m *sched.Machine, p *sched.Placement, now Micros) {
+	j := p.Job
+	j.FailedOn[m.ID] = true
+	healthy := j.Succeeded || slices.ContainsFunc(j.Tasks, func(t sched.Task) bool {
+		return t.Place != nil && t.Place != p && t.Place.Running > 0 && !t.Place.Exited && now-t.Place.Running > 10*clock.Second
+	})
+	if !healthy && len(j.FailedOn) >= 3 {
+		j.Backoff = min(max(2*j.Backoff, 4*clock.Second), clock.Micros(60)*clock.Second)
+		j.HoldUntil = now + j.Backoff
+		for id := range j.FailedOn { // its failures told nothing about the machines
+			if other := c.machines[id]; other != nil {
+				delete(other.ErrorJobs, j.ID)
+				if len(other.ErrorJobs) == 0 {
+					other.Errors = 0
+				}
+			}
+		}
+		return
+	}
+	m.Errors++
+	if m.ErrorJobs == nil {
+		m.ErrorJobs = map[string]bool{}
+	}
+	m.ErrorJobs[j.ID] = true
+	if m.Errors >= c.pol.SickErrors && (len(m.ErrorJobs) > 1 || healthy) && !m.Draining {
+		slog.Info("machine fails its tasks, draining", "machine", m.ID)
+		c.drain(m)
+	}
+}
+
+// leave ends a placement whose task has provably left its machine, or was
+// never sent there.
+func (c *Core) leave(p *sched.Placement) {
+	if p.Machine.Places[p.Task] != p {
+		return
+	}
+	sched.Detach(p, c.teams)
+	now := c.env.Now()
+	if !p.Machine.Busy() {
+		p.Machine.IdleSince = now
+	}
+	c.saveMachine(p.Machine, nil)
+	c.wake()
+	j := p.Job
+	if j == nil {
+		return
+	}
+	if t := &j.Tasks[p.Index]; t.State == sched.Placed {
+		t.State = sched.Pending
+		if j.Active() && !j.Gang() {
+			j.Queue = append([]int32{int32(p.Index)}, j.Queue...)
+		}
+	}
+	if j.Gang() && j.Active() {
+		if j.Placed == 0 {
+			c.requeue(j)
+		} else {
+			for i := range j.Tasks { // what is left of the attempt is of no use
+				if q := j.Tasks[i].Place; q != nil && !q.Stopping {
+					q.Stopping, q.Grace = true, 0
+				}
+			}
+		}
+	}
+	c.archive(j)
+}
+
+// proveByLease frees the places of machines whose lease has surely ended: the
+// worker had acknowledged our token, so only our answers renewed it.
+func (c *Core) proveByLease(now Micros) {
+	bound := c.cfg.WorkerLease() + c.cfg.WorkerLease()/500 + c.margin()
+	for _, m := range c.order {
+		if m.Acked && m.Busy() && now-m.Answered > bound {
+			slog.Info("worker's lease has ended", "machine", m.ID)
+			for _, p := range places(m) {
+				c.leave(p)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,308 @@
+// Package fleet decides which machines to rent and which to return. Like
+// sched, it is pure.
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/sched"
+	"lilacthread/wire"
+)
+
+// Kind is a type, zone and kind of machine that the cloud may or may not have.
+type Kind struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Rental is machines on order: requested, or rented and still booting.
+type Rental struct {
+	Kind  Kind
+	Count int
+}
+
+// Input is what buying looks at.
+type Input struct {
+	Now      sched.Micros
+	Catalog  []wire.MachineType
+	Refused  map[Kind]sched.Micros // until when not to ask again
+	Machines []*sched.Machine
+	Ordered  []Rental         // requests not yet answered
+	Unplaced []sched.Unplaced // in queue order
+	Headroom float64          // CPUs wanted free, or freeable, for services
+	Service  *sched.Job       // the service that headroom is measured by; nil: none yet
+	SpotWait sched.Micros
+	Rates    map[string]float64
+}
+
+// Buy is a rental to make.
+type Buy struct {
+	Kind  Kind
+	Count int
+}
+
+// bin is room that is on its way.
+type bin struct {
+	kind Kind
+	typ  *wire.MachineType
+	room sched.Need
+}
+
+type buyer struct {
+	*Input
+	bins   []*bin
+	frees  []free
+	bought map[Kind]int
+}
+
+type free struct {
+	at   sched.Micros
+	cpus float64
+	m    *sched.Machine
+}
+
+// Plan decides what to rent now. Demand first goes to machines on their way,
+// then to room that running tasks will free in time, and only then to new
+// machines.
+func Plan(in *Input) []Buy {
+	b := &buyer{Input: in, bought: map[Kind]int{}}
+	for _, m := range in.Machines {
+		if !m.Up && !m.Releasing && !m.Failed {
+			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Size()})
+		}
+		if m.Releasing || m.Draining || m.Notice != 0 || m.Errors > 0 {
+			continue
+		}
+		for _, p := range m.Places {
+			if p.Job == nil || p.Job.Service() || p.Exited {
+				continue
+			}
+			start := p.Running
+			if start == 0 {
+				start = in.Now
+			}
+			b.frees = append(b.frees, free{max(in.Now, start+p.Job.Estimate), p.Need.CPUs, m})
+		}
+	}
+	slices.SortFunc(b.frees, func(x, y free) int {
+		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.m.ID, y.m.ID))
+	})
+	for _, r := range in.Ordered {
+		if t := b.typ(r.Kind.Type); t != nil {
+			for range r.Count {
+				b.bins = append(b.bins, newBin(r.Kind, t))
+			}
+		}
+	}
+	for _, u := range in.Unplaced {
+		b.demand(u)
+	}
+	b.headroom()
+	var out []Buy
+	for k, n := range b.bought {
+		out = append(out, Buy{k, min(n, 50)})
+	}
+	slices.SortFunc(out, func(x, y Buy) int {
+		return cmp.Or(cmp.Compare(x.Kind.Type, y.Kind.Type), cmp.Compare(x.Kind.Zone, y.Kind.Zone),
+			cmp.Compare(b2i(x.Kind.Spot), b2i(y.Kind.Spot)))
+	})
+	return out
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func newBin(k Kind, t *wire.MachineType) *bin {
+	return &bin{k, t, sched.Need{CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}}
+}
+
+func (b *buyer) typ(name string) *wire.MachineType {
+	for i := range b.Catalog {
+		if b.Catalog[i].Name == name {
+			return &b.Catalog[i]
+		}
+	}
+	return nil
+}
+
+// demand finds room for the unplaced tasks of one job.
+func (b *buyer) demand(u sched.Unplaced) {
+	j, need := u.Job, u.Job.Need()
+	held := map[string]int{}
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil {
+			held[p.Machine.Zone]++
+		}
+	}
+	for left := u.Count; left > 0; left-- {
+		if b.fromBins(j, need, held) {
+			continue
+		}
+		wait := clock.Forever
+		at := -1
+		if j.Array() {
+			at, wait = b.nextFree(j, need.CPUs)
+		}
+		kind, ok := b.pick(j, need, left, held, wait)
+		if !ok {
+			if at >= 0 {
+				b.consume(at, need.CPUs)
+				continue
+			}
+			return
+		}
+		b.bought[kind]++
+		nb := newBin(kind, b.typ(kind.Type))
+		nb.room = nb.room.Sub(need)
+		held[kind.Zone]++
+		b.bins = append(b.bins, nb)
+	}
+}
+
+func (b *buyer) fromBins(j *sched.Job, need sched.Need, held map[string]int) bool {
+	for _, x := range b.bins {
+		if need.Fits(x.room) && j.Allows(x.typ, x.kind.Zone, x.kind.Spot) && sched.ZoneAllows(j, held, x.kind.Zone) {
+			x.room = x.room.Sub(need)
+			held[x.kind.Zone]++
+			return true
+		}
+	}
+	return false
+}
+
+// nextFree finds when running tasks will have freed enough for one more task
+// of j: the index of the first release on an allowed machine and the wait.
+func (b *buyer) nextFree(j *sched.Job, cpus float64) (int, sched.Micros) {
+	got := 0.0
+	first := -1
+	for i, f := range b.frees {
+		if f.cpus <= 0 || !j.Allows(f.m.Type, f.m.Zone, f.m.Spot) {
+			continue
+		}
+		if first < 0 {
+			first = i
+		}
+		if got += f.cpus; got >= cpus {
+			return first, f.at - b.Now
+		}
+	}
+	return -1, clock.Forever
+}
+
+// consume takes CPUs from the releases beginning at index i and gives them
+// back when the task that took them would end.
+func (b *buyer) consume(i int, cpus float64) {
+	for ; i < len(b.frees) && cpus > 0; i++ {
+		take := min(cpus, b.frees[i].cpus)
+		b.frees[i].cpus -= take
+		cpus -= take
+	}
+}
+
+// pick chooses a machine to rent for j's next task, if one is worth it.
+func (b *buyer) pick(j *sched.Job, need sched.Need, left int, held map[string]int, wait sched.Micros) (Kind, bool) {
+	best, bestCost := Kind{}, math.Inf(1)
+	for i := range b.Catalog {
+		t := &b.Catalog[i]
+		slots := math.Floor(math.Min(ratio(t.CPUs, need.CPUs), ratio(t.MemoryGB, need.Memory)) + 1e-9)
+		slots = math.Min(slots, float64(left))
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				k := Kind{t.Name, zone, spot}
+				if b.Now < b.Refused[k] || !j.Allows(t, zone, spot) || !sched.ZoneAllows(j, held, zone) {
+					continue
+				}
+				if !b.worth(j, t, spot, wait) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				if cost := price / math.Max(slots, 1); cost < bestCost {
+					best, bestCost = k, cost
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+// worth reports whether a new machine beats waiting for running tasks: a spot
+// machine when the wait is more than a little, an ordinary one when waiting
+// would miss the job's aim.
+func (b *buyer) worth(j *sched.Job, t *wire.MachineType, spot bool, wait sched.Micros) bool {
+	if !j.Array() {
+		return true
+	}
+	boot := clock.FromSeconds(t.Boot)
+	if spot {
+		return wait > boot/2+b.SpotWait
+	}
+	target := min(j.Target, j.Deadline)
+	if target >= clock.Forever {
+		return wait > 4*boot
+	}
+	spare := target - b.Now - j.Estimate*5/4
+	if spare < 0 { // late already: soon is still better than later
+		return wait > 2*boot
+	}
+	return wait > max(spare, boot)
+}
+
+// headroom buys ordinary machines until the room that is free, on its way, or
+// held by work that services may stop, covers the services expected.
+func (b *buyer) headroom() {
+	if b.Service == nil || b.Headroom <= 0 {
+		return
+	}
+	have := b.Spare(nil)
+	need := b.Service.Need()
+	for _, x := range b.bins {
+		if !x.kind.Spot && b.Service.Allows(x.typ, x.kind.Zone, false) {
+			have += x.room.CPUs
+		}
+	}
+	for have < b.Headroom {
+		left := int(math.Ceil((b.Headroom - have) / math.Max(need.CPUs, 0.1)))
+		k, ok := b.pick(b.Service, need, left, nil, clock.Forever)
+		if !ok {
+			return
+		}
+		b.bought[k]++
+		have += b.typ(k.Type).CPUs
+	}
+}
+
+// Spare is the room on ordinary machines in use that services could take at
+// once, leaving out one machine.
+func (in *Input) Spare(without *sched.Machine) float64 {
+	sum := 0.0
+	for _, m := range in.Machines {
+		if m == without || m.Spot || !m.Up || m.Releasing || m.Draining || m.Errors > 0 ||
+			in.Service != nil && !in.Service.Allows(m.Type, m.Zone, false) {
+			continue
+		}
+		sum += m.Room().CPUs
+		for _, p := range m.Places {
+			if p.Priority < wire.PriorityProduction && !p.Exited {
+				sum += p.Need.CPUs
+			}
+		}
+	}
+	return sum
+}
+
+func ratio(have, need float64) float64 {
+	if need <= 0 {
+		return math.Inf(1)
+	}
+	return have / need
+}
--- /dev/null
+++ b/internal/policy/policy.go
@@ -0,0 +1,98 @@
+// Package policy reads the operators' own settings, a Starlark program that
+// assigns checked names. The defaults are embedded and run first.
+package policy
+
+import (
+	_ "embed"
+	"fmt"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"lilacthread/internal/clock"
+)
+
+//go:embed default.star
+var defaults string
+
+// Policy is the outcome of the program.
+type Policy struct {
+	Cycle         clock.Micros
+	Smoothing     float64
+	UseWindow     clock.Micros
+	FetchRate     float64
+	LeaderTTL     clock.Micros
+	Margin        clock.Micros
+	Idle          clock.Micros
+	BootFactor    float64
+	SilentReports float64
+	Headroom      float64
+	SickErrors    int
+	Refused       clock.Micros
+	SpotWait      clock.Micros
+}
+
+// Default returns the embedded policy.
+func Default() *Policy {
+	p, err := Parse("", "")
+	if err != nil {
+		panic(err) // the embedded program is covered by the tests
+	}
+	return p
+}
+
+// Parse runs the defaults and then the operator's program, named for messages.
+func Parse(name, program string) (*Policy, error) {
+	values := starlark.StringDict{}
+	known := map[string]bool{}
+	for i, src := range []struct{ name, text string }{{"default.star", defaults}, {name, program}} {
+		thread := &starlark.Thread{Name: src.name}
+		thread.SetMaxExecutionSteps(1_000_000)
+		globals, err := starlark.ExecFileOptions(&syntax.FileOptions{}, thread, src.name, src.text, values)
+		if err != nil {
+			return nil, fmt.Errorf("policy: %w", err)
+		}
+		for k, v := range globals {
+			if i == 0 {
+				known[k] = true
+			} else if _, fn := v.(starlark.Callable); !known[k] && !fn && k[0] != '_' {
+				return nil, fmt.Errorf("policy: %s: unknown setting %q", src.name, k)
+			}
+			values[k] = v
+		}
+	}
+	r := reader{values: values}
+	p := &Policy{
+		Cycle:         r.seconds("cycle_s", 0.01, 60),
+		Smoothing:     r.number("smoothing", 0.01, 1),
+		UseWindow:     r.seconds("use_window_s", 1, 1e7),
+		FetchRate:     r.number("fetch_gb_per_s", 1e-4, 1e3),
+		LeaderTTL:     r.seconds("leader_ttl_s", 0.5, 60),
+		Margin:        r.seconds("margin_s", 0.1, 30),
+		Idle:          r.seconds("idle_s", 0, 1e5),
+		BootFactor:    r.number("boot_factor", 1, 100),
+		SilentReports: r.number("silent_reports", 2, 100),
+		Headroom:      r.number("headroom", 0, 100),
+		SickErrors:    int(r.number("sick_errors", 1, 100)),
+		Refused:       r.seconds("refused_s", 1, 3600),
+		SpotWait:      r.seconds("spot_wait_s", 0, 3600),
+	}
+	return p, r.err
+}
+
+type reader struct {
+	values starlark.StringDict
+	err    error
+}
+
+func (r *reader) number(name string, min, max float64) float64 {
+	v, ok := starlark.AsFloat(r.values[name])
+	if (!ok || !(v >= min && v <= max)) && r.err == nil {
+		r.err = fmt.Errorf("policy: %s: %v is not between %v and %v", name, r.values[name], min, max)
+	}
+	return v
+}
+
+func (r *reader) seconds(name string, min, max float64) clock.Micros {
+	return clock.FromSeconds(r.number(name, min, max))
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,75 @@
+// Package rpc makes MessagePack calls over HTTP/1.1 for the clients of the
+// state service, the cloud and the users' command line.
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"lilacthread/wire"
+)
+
+// Client calls one server.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New makes a client of the server at addr (host and port).
+func New(addr string) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 16,
+			IdleConnTimeout:     90 * time.Second,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// ErrNotSent means that no connection was made, so nothing was executed.
+var ErrNotSent = errors.New("not sent")
+
+// maxAnswer bounds answers; those of a watch have no limit of their own.
+const maxAnswer = 16 << 20
+
+// Call sends in (nil: no body) and decodes the answer into out if the status
+// is 200 or 201. The status is 0 when no valid answer came.
+func (c *Client) Call(method, path string, in, out any, timeout time.Duration) (int, []byte, http.Header, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		body = bytes.NewReader(wire.Encode(in))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return 0, nil, nil, errors.Join(ErrNotSent, err)
+	}
+	req.Header.Set("Content-Type", "application/msgpack")
+	res, err := c.http.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			err = errors.Join(ErrNotSent, err)
+		}
+		return 0, nil, nil, err
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	if out != nil && (res.StatusCode == http.StatusOK || res.StatusCode == http.StatusCreated) {
+		if err := wire.Decode(raw, out); err != nil {
+			return 0, raw, nil, err
+		}
+	}
+	return res.StatusCode, raw, res.Header, nil
+}
--- /dev/null
+++ b/internal/sched/model.go
@@ -0,0 +1,223 @@
+// Package sched holds the scheduler's model and its decisions. It is pure: no
+// I/O, no clock of its own, and the same input gives the same output.
+package sched
+
+import (
+	"lilacthread/internal/clock"
+	"lilacthread/wire"
+)
+
+// Micros is the project's unit of time.
+type Micros = clock.Micros
+
+// TaskState is the scheduler's view of a task.
+type TaskState uint8
+
+// States of a task.
+const (
+	Pending TaskState = iota // may be placed
+	Placed                   // holds a place on a machine
+	Done
+)
+
+// Job is a job with its tasks.
+type Job struct {
+	Spec      *wire.Job
+	ID        string
+	Priority  int
+	Submitted Micros // on the owner's steady clock
+	Deadline  Micros // clock.Forever without one
+	Target    Micros // when its class's objective wants it done; Forever without one
+	Estimate  Micros // expected run time of a task
+
+	Tasks     []Task
+	Queue     []int32 // pending tasks, in order of placing
+	Placed    int
+	DoneCount int
+
+	Cancelled bool   // decided, perhaps not yet committed
+	Shown     string // the final phase once committed
+	Ended     bool   // cancelled, or all tasks done
+
+	HoldUntil Micros          // failed on several machines: not placed before
+	FailedOn  map[string]bool // machines on which its tasks failed
+	Backoff   Micros
+	Succeeded bool // some task of it has completed
+
+	GangAttempt uint64 // attempt shared by a gang's tasks
+	Unwinding   bool   // a gang that waits for its old tasks to leave
+}
+
+// Task is one task of a job.
+type Task struct {
+	State    TaskState
+	Place    *Placement
+	Progress Micros // saved progress, as far as known
+}
+
+// Active reports whether the job still wants to run.
+func (j *Job) Active() bool { return !j.Cancelled && !j.Ended }
+
+// Gang, Service and Array name the job's kind.
+func (j *Job) Gang() bool    { return j.Spec.Kind == wire.KindGang }
+func (j *Job) Service() bool { return j.Spec.Kind == wire.KindService }
+func (j *Job) Array() bool   { return j.Spec.Kind == wire.KindArray }
+
+// Rank is HEFT's upward rank. The wire has no dependencies, so a job is a
+// pipeline of one and its rank is its own expected run time.
+func (j *Job) Rank() Micros { return j.Estimate }
+
+// Need is what one task takes of a machine.
+type Need struct{ CPUs, GPUs, Memory float64 }
+
+// Need gives the resources of one task.
+func (j *Job) Need() Need { return Need{j.Spec.CPUs, j.Spec.GPUs, j.Spec.MemoryGB} }
+
+const slack = 1e-6 // tolerance of resource sums
+
+// Fits reports whether a task needing n fits into the room r.
+func (n Need) Fits(r Need) bool {
+	return n.CPUs <= r.CPUs+slack && n.GPUs <= r.GPUs+slack && n.Memory <= r.Memory+slack
+}
+
+// Add and Sub move resources between sums.
+func (n Need) Add(o Need) Need { return Need{n.CPUs + o.CPUs, n.GPUs + o.GPUs, n.Memory + o.Memory} }
+func (n Need) Sub(o Need) Need { return Need{n.CPUs - o.CPUs, n.GPUs - o.GPUs, n.Memory - o.Memory} }
+
+// Placement is a task's place on a machine, from the decision until its
+// absence is proven.
+type Placement struct {
+	Job      *Job // nil when the job is over and archived
+	Index    int
+	Task     string
+	Attempt  uint64
+	Machine  *Machine
+	Session  uint64
+	Need     Need
+	Team     string
+	Priority int
+	Image    string
+
+	Committed bool // written ahead: a launch may be sent
+	Sent      bool // a launch may have been sent
+	SentAt    Micros
+	Seen      bool // reported under our token
+	Inherited bool // from an earlier leader: an acknowledged report proves absence
+	State     string
+	Running   Micros // when first seen running, or 0
+	Exited    bool   // seen exited; takes no room any more
+	Stopping  bool
+	Grace     float64
+	StopSent  Micros
+}
+
+// Machine is a rented machine.
+type Machine struct {
+	ID    string
+	Addr  string
+	Type  *wire.MachineType
+	Zone  string
+	Spot  bool
+	Since Micros // rental request, on the owner's steady clock
+
+	Session  uint64
+	Seq      uint64
+	Up       bool // has reported
+	Acked    bool // has acknowledged our token
+	Heard    Micros
+	Answered Micros // receipt of the last report that we answered
+	Notice   Micros // when the cloud takes it; 0: no notice
+
+	Places map[string]*Placement
+	Images map[string]Micros // last use
+	Sizes  map[string]float64
+
+	Errors    int             // failures since the last success
+	ErrorJobs map[string]bool // whose failures those were
+	AvoidTill Micros
+	IdleSince Micros
+	Draining  bool
+	Releasing bool
+	Failed    bool
+}
+
+// Room is what the machine has free. Tasks without proof of absence hold
+// theirs; exited tasks hold none.
+func (m *Machine) Room() Need {
+	r := m.Size()
+	for _, p := range m.Places {
+		if !p.Exited {
+			r = r.Sub(p.Need)
+		}
+	}
+	return r
+}
+
+// Size is the machine's whole room.
+func (m *Machine) Size() Need { return Need{m.Type.CPUs, m.Type.GPUs, m.Type.MemoryGB} }
+
+// Busy reports whether any task holds a place.
+func (m *Machine) Busy() bool { return len(m.Places) > 0 }
+
+// Usable reports whether new tasks may be placed.
+func (m *Machine) Usable(now, fresh Micros) bool {
+	return m.Up && m.Acked && !m.Draining && !m.Releasing && m.Notice == 0 && !m.Failed &&
+		now-m.Heard <= fresh && now >= m.AvoidTill
+}
+
+// Touch notes the use of an image and forgets the least recently used ones
+// beyond the cache.
+func (m *Machine) Touch(image string, gb float64, now Micros) {
+	m.Images[image] = now
+	m.Sizes[image] = gb
+	for {
+		total, oldest := 0.0, ""
+		for name, size := range m.Sizes {
+			total += size
+			if name != image && (oldest == "" || m.Images[name] < m.Images[oldest] ||
+				m.Images[name] == m.Images[oldest] && name < oldest) {
+				oldest = name
+			}
+		}
+		if total <= m.Type.CacheGB || oldest == "" {
+			return
+		}
+		delete(m.Images, oldest)
+		delete(m.Sizes, oldest)
+	}
+}
+
+// Allows reports whether the job may run on machines of this type, zone and
+// kind at all.
+func (j *Job) Allows(t *wire.MachineType, zone string, spot bool) bool {
+	if spot && !j.Spec.Spot || j.Spec.Zone != "" && j.Spec.Zone != zone {
+		return false
+	}
+	if !j.Need().Fits(Need{t.CPUs, t.GPUs, t.MemoryGB}) {
+		return false
+	}
+	if len(j.Spec.Types) == 0 {
+		return true
+	}
+	for _, name := range j.Spec.Types {
+		if name == t.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// Team is a team's limits and use.
+type Team struct {
+	Name             string
+	Guarantee, Limit Need    // CPUs and GPUs; 0 means none
+	Held             Need    // by placements without proof of absence
+	Use              float64 // CPU-seconds decayed over the window
+	UseAt            Micros
+}
+
+// Allows reports whether the team may take n more.
+func (t *Team) Allows(n Need) bool {
+	return (t.Limit.CPUs == 0 || t.Held.CPUs+n.CPUs <= t.Limit.CPUs+slack) &&
+		(t.Limit.GPUs == 0 || t.Held.GPUs+n.GPUs <= t.Limit.GPUs+slack)
+}
--- /dev/null
+++ b/internal/sched/plan.go
@@ -0,0 +1,435 @@
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"lilacthread/internal/clock"
+	"lilacthread/wire"
+)
+
+// Input is what a scheduling pass looks at. Plan changes the model as it
+// decides: it creates placements and marks victims.
+type Input struct {
+	Now      Micros
+	Fresh    Micros // a report not older than this makes a machine usable
+	Jobs     []*Job // active jobs
+	Machines []*Machine
+	Teams    map[string]*Team
+	Rates    map[string]float64 // smoothed fetch rate by type, GB a second
+	Attempt  func() uint64      // hands out attempt numbers
+	MaxTasks int                // places that one machine's record can hold
+}
+
+// Unplaced is demand that found no room.
+type Unplaced struct {
+	Job   *Job
+	Count int
+}
+
+// Output is what a pass decided.
+type Output struct {
+	Launch   []*Placement
+	Stop     []*Placement
+	Unplaced []Unplaced
+}
+
+// Order sorts jobs by the paper's levels (urgency, team, pipeline, rank)
+// beneath the protocol's priority.
+func Order(jobs []*Job, teams map[string]*Team) {
+	use := func(j *Job) float64 {
+		if t := teams[j.Spec.Team]; t != nil {
+			return t.Use
+		}
+		return 0
+	}
+	slices.SortStableFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(
+			cmp.Compare(b.Priority, a.Priority),
+			cmp.Compare(b2i(b.Spec.Deadline != nil), b2i(a.Spec.Deadline != nil)),
+			cmp.Compare(use(a), use(b)),
+			cmp.Compare(a.Submitted, b.Submitted),
+			cmp.Compare(b.Rank(), a.Rank()),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// pass is the working state of one Plan call.
+type pass struct {
+	*Input
+	out  Output
+	room map[*Machine]Need
+}
+
+// Plan runs one scheduling cycle.
+func Plan(in *Input) Output {
+	p := &pass{Input: in, room: make(map[*Machine]Need, len(in.Machines))}
+	for _, m := range in.Machines {
+		if m.Usable(in.Now, in.Fresh) {
+			p.room[m] = m.Room()
+		}
+	}
+	Order(in.Jobs, in.Teams)
+	for _, j := range in.Jobs {
+		if !j.Active() || len(j.Queue) == 0 || in.Now < j.HoldUntil {
+			continue
+		}
+		if j.Gang() {
+			p.placeGang(j)
+		} else {
+			p.placeEach(j)
+		}
+	}
+	return p.out
+}
+
+func (p *pass) placeEach(j *Job) {
+	team := p.Teams[j.Spec.Team]
+	for len(j.Queue) > 0 {
+		if !team.Allows(j.Need()) {
+			return // the limit, not room, holds it back: no machine is bought for it
+		}
+		m := p.choose(j, p.zones(j))
+		var victims []*Placement
+		if m == nil && j.Priority == wire.PriorityProduction {
+			m, victims = p.preempt(j, p.zones(j))
+		}
+		if m == nil {
+			break
+		}
+		for _, v := range victims {
+			p.stop(v, 0)
+		}
+		p.place(j, m, p.Attempt())
+	}
+	if n := len(j.Queue); n > 0 {
+		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
+		if j.Priority > wire.PriorityLow && j.Priority < wire.PriorityProduction {
+			p.makeRoom(j, n)
+		}
+	}
+}
+
+// zones counts the places a job's tasks hold by zone; nil when the job does
+// not care.
+func (p *pass) zones(j *Job) map[string]int {
+	if !j.Spec.Spread && !j.Spec.OneZone {
+		return nil
+	}
+	count := map[string]int{}
+	for i := range j.Tasks {
+		if pl := j.Tasks[i].Place; pl != nil {
+			count[pl.Machine.Zone]++
+		}
+	}
+	return count
+}
+
+// ZoneAllows applies together and apart, given the places already held.
+func ZoneAllows(j *Job, held map[string]int, zone string) bool {
+	if j.Spec.OneZone {
+		for z, n := range held {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	if j.Spec.Spread && held[zone]+1 > (j.Spec.Tasks+1)/2 {
+		return false
+	}
+	return true
+}
+
+func (p *pass) allowed(j *Job, m *Machine, held map[string]int) bool {
+	if held != nil && !ZoneAllows(j, held, m.Zone) || !j.Allows(m.Type, m.Zone, m.Spot) {
+		return false
+	}
+	if len(m.Places) >= p.MaxTasks {
+		return false
+	}
+	// A machine that failed its last task gets one task at a time, of a job
+	// that has not failed on it: a sick machine, always free, would otherwise
+	// draw in the whole queue.
+	return m.Errors == 0 || len(m.Places) == 0 && !j.FailedOn[m.ID]
+}
+
+// Delay is the expected wait for the image on m.
+func (p *pass) delay(j *Job, m *Machine) float64 {
+	if _, ok := m.Images[j.Spec.Image]; ok {
+		return 0
+	}
+	others := map[string]bool{}
+	for _, q := range m.Places {
+		if q.Image == j.Spec.Image && !q.Exited {
+			return j.Spec.ImageGB / p.Rates[m.Type.Name] / 2 // its fetch is under way
+		}
+		if q.Running == 0 && !q.Exited && q.Image != "" {
+			if _, cached := m.Images[q.Image]; !cached {
+				others[q.Image] = true
+			}
+		}
+	}
+	return j.Spec.ImageGB / p.Rates[m.Type.Name] * float64(1+len(others))
+}
+
+// choose picks the machine with room and the least expected delay. Ties go to
+// spot machines for jobs that may use them, then to the fullest machine, so
+// that others empty and can be returned.
+func (p *pass) choose(j *Job, held map[string]int) *Machine {
+	var best *Machine
+	bestCost := math.Inf(1)
+	need := j.Need()
+	for _, m := range p.Machines {
+		room, ok := p.room[m]
+		if !ok || !need.Fits(room) || !p.allowed(j, m, held) {
+			continue
+		}
+		cost := p.delay(j, m) + (room.CPUs-need.CPUs)/m.Type.CPUs
+		if j.Spec.Spot && !m.Spot {
+			cost += 2
+		}
+		if m.Errors > 0 {
+			cost += 60
+		}
+		if cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	return best
+}
+
+// preempt looks for the machine where stopping tasks of lower priority at once
+// makes room at the least loss.
+func (p *pass) preempt(j *Job, held map[string]int) (*Machine, []*Placement) {
+	var best *Machine
+	var bestVictims []*Placement
+	bestCost := math.Inf(1)
+	need := j.Need()
+	for _, m := range p.Machines {
+		room, ok := p.room[m]
+		if !ok || m.Errors > 0 || !p.allowed(j, m, held) {
+			continue
+		}
+		var victims []*Placement
+		lost := 0.0
+		for _, v := range p.victims(m, j.Priority) {
+			if need.Fits(room) {
+				break
+			}
+			room = room.Add(v.Need)
+			victims = append(victims, v)
+			lost += p.loss(v)
+		}
+		if !need.Fits(room) {
+			continue
+		}
+		if cost := p.delay(j, m) + lost/20; cost < bestCost {
+			best, bestVictims, bestCost = m, victims, cost
+		}
+	}
+	return best, bestVictims
+}
+
+// victims lists what may be stopped on m for the given priority: lowest
+// priority first, then the least loss.
+func (p *pass) victims(m *Machine, priority int) []*Placement {
+	var list []*Placement
+	for _, v := range m.Places {
+		if v.Priority < priority && v.Job != nil && !v.Exited && !v.Stopping && !v.Job.Gang() {
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Placement) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a.Task, b.Task))
+	})
+	return list
+}
+
+// loss is the work, in CPU-seconds, that stopping v at once would waste.
+func (p *pass) loss(v *Placement) float64 {
+	if v.Running == 0 {
+		return 0
+	}
+	ran := p.Now - v.Running
+	if knot := clock.FromSeconds(v.Job.Spec.Checkpoint); knot > 0 {
+		ran %= knot
+	}
+	return ran.Seconds() * v.Need.CPUs
+}
+
+// makeRoom stops checkpointed work of lower priority, with time to save, for
+// n waiting tasks of j. The freed room goes to the queue's head by itself.
+func (p *pass) makeRoom(j *Job, n int) {
+	need := j.Need()
+	for _, m := range p.Machines {
+		room, ok := p.room[m]
+		if !ok || m.Errors > 0 || !p.allowed(j, m, nil) {
+			continue
+		}
+		for _, v := range m.Places {
+			if v.Stopping && !v.Exited {
+				room = room.Add(v.Need)
+			}
+		}
+		for need.Fits(room) && n > 0 {
+			room = room.Sub(need)
+			n--
+		}
+		for _, v := range p.victims(m, j.Priority) {
+			if n == 0 {
+				return
+			}
+			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 {
+				continue
+			}
+			p.stop(v, v.Job.Spec.Save+1)
+			room = room.Add(v.Need)
+			for need.Fits(room) && n > 0 {
+				room = room.Sub(need)
+				n--
+			}
+		}
+	}
+}
+
+func (p *pass) stop(v *Placement, grace float64) {
+	v.Stopping, v.Grace = true, grace
+	p.out.Stop = append(p.out.Stop, v)
+	if grace == 0 {
+		// The worker runs the stop before the launch that rides with it.
+		p.room[v.Machine] = p.room[v.Machine].Add(v.Need)
+	}
+}
+
+func (p *pass) place(j *Job, m *Machine, attempt uint64) {
+	index := int(j.Queue[0])
+	j.Queue = j.Queue[1:]
+	pl := &Placement{
+		Job: j, Index: index, Task: wire.TaskID(j.ID, index), Attempt: attempt,
+		Machine: m, Session: m.Session, Need: j.Need(), Team: j.Spec.Team,
+		Priority: j.Priority, Image: j.Spec.Image,
+	}
+	Attach(pl, p.Teams)
+	p.room[m] = p.room[m].Sub(pl.Need)
+	p.out.Launch = append(p.out.Launch, pl)
+}
+
+// Attach enters a placement into the model.
+func Attach(pl *Placement, teams map[string]*Team) {
+	pl.Machine.Places[pl.Task] = pl
+	if t := teams[pl.Team]; t != nil {
+		t.Held = t.Held.Add(pl.Need)
+	}
+	if pl.Job != nil {
+		pl.Job.Placed++
+		pl.Job.Tasks[pl.Index].State = Placed
+		pl.Job.Tasks[pl.Index].Place = pl
+	}
+}
+
+// Detach removes a placement whose task has provably left its machine.
+func Detach(pl *Placement, teams map[string]*Team) {
+	if pl.Machine.Places[pl.Task] != pl {
+		return
+	}
+	delete(pl.Machine.Places, pl.Task)
+	if t := teams[pl.Team]; t != nil {
+		t.Held = t.Held.Sub(pl.Need)
+	}
+	if pl.Job != nil {
+		pl.Job.Placed--
+		pl.Job.Tasks[pl.Index].Place = nil
+	}
+}
+
+// placeGang places all tasks of a gang within this pass or none of them.
+func (p *pass) placeGang(j *Job) {
+	if j.Placed > 0 || len(j.Queue) < len(j.Tasks)-j.DoneCount {
+		return // old tasks have not left yet
+	}
+	n := len(j.Queue)
+	team := p.Teams[j.Spec.Team]
+	all := j.Need()
+	all.CPUs *= float64(n)
+	all.GPUs *= float64(n)
+	if !team.Allows(all) {
+		return
+	}
+	zones := []string{""}
+	if j.Spec.OneZone {
+		zones = p.allZones()
+	}
+	for _, zone := range zones {
+		if picks := p.gangPicks(j, n, zone); picks != nil {
+			attempt := p.Attempt()
+			j.GangAttempt = attempt
+			for _, m := range picks {
+				p.place(j, m, attempt)
+			}
+			return
+		}
+	}
+	p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
+}
+
+func (p *pass) allZones() []string {
+	var zones []string
+	for _, m := range p.Machines {
+		if !slices.Contains(zones, m.Zone) {
+			zones = append(zones, m.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// gangPicks finds a machine for each of n tasks, in the given zone if one is
+// named, without changing the model.
+func (p *pass) gangPicks(j *Job, n int, zone string) []*Machine {
+	saved := make(map[*Machine]Need, len(p.room))
+	for m, r := range p.room {
+		saved[m] = r
+		if zone != "" && m.Zone != zone {
+			delete(p.room, m)
+		}
+	}
+	defer func() { p.room = saved }()
+	held := map[string]int{}
+	var picks []*Machine
+	for range n {
+		m := p.choose(j, held)
+		if m == nil {
+			return nil
+		}
+		held[m.Zone]++
+		p.room[m] = p.room[m].Sub(j.Need())
+		picks = append(picks, m)
+	}
+	return picks
+}
+
+// Smooth is the paper's first-order filter: alpha of the latest value and the
+// rest of the old one.
+func Smooth(alpha float64, latest, old Micros) Micros {
+	return Micros(math.Round(alpha*float64(latest) + (1-alpha)*float64(old)))
+}
+
+// Decay brings a team's use up to now: what it holds adds up, and the past
+// fades over the window.
+func (t *Team) Decay(now, window Micros) {
+	dt := now - t.UseAt
+	if dt <= 0 {
+		return
+	}
+	t.Use = t.Use*math.Exp(-float64(dt)/float64(window)) + t.Held.CPUs*dt.Seconds()
+	t.UseAt = now
+}
