--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -101,7 +101,9 @@
 func (c *Core) tendMachines(now Micros) {
 	up, silent := 0, 0
 	quiet := Micros(c.pol.SilentReports * float64(c.cfg.ReportEvery()))
-	settled := now-c.electedAt > c.cfg.WorkerLease()
+	// After a takeover no machine has reported yet, and none is late for that:
+	// a new leader that judged by silence alone would return the whole fleet.
+	settled := now-c.electedAt > 3*c.cfg.WorkerLease()/2
 	for _, m := range c.order {
 		if m.Up && !m.Releasing {
 			up++
@@ -120,7 +122,7 @@
 		switch {
 		case m.Failed:
 			why = "failed"
-		case !m.Up && now-m.Since > Micros(float64(boot)*c.pol.BootFactor)+clock.FromSeconds(c.cfg.Params.Cloud.ListLag):
+		case !m.Up && settled && now-m.Since > Micros(float64(boot)*c.pol.BootFactor)+clock.FromSeconds(c.cfg.Params.Cloud.ListLag):
 			why = "never came up"
 		case m.Up && now-m.Heard > quiet && settled && (silent*4 <= up || silent == 1):
 			// Returning it proves at once that its tasks are gone; but when many
@@ -128,7 +130,7 @@
 			why = "silent"
 		case m.Up && now-m.Heard > c.cfg.WorkerLease()+c.margin() && settled && !m.Busy():
 			why = "silent and empty"
-		case !m.Acked && m.Busy() && now-c.electedAt > 3*c.cfg.WorkerLease()/2:
+		case !m.Acked && m.Busy() && settled:
 			why = "does not acknowledge this term"
 		case m.Busy() || !m.Up:
 		case m.Draining || m.Notice != 0:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -71,7 +71,7 @@
 	b := &buyer{Input: in, bought: map[Kind]int{}}
 	for _, m := range in.Machines {
 		if !m.Up && !m.Releasing && !m.Failed {
-			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Size()})
+			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Room()})
 		}
 		if m.Releasing || m.Draining || m.Notice != 0 || m.Errors > 0 {
 			continue
