--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -261,6 +261,9 @@
 			}
 		}
 	}
+	if in.Service != nil && in.Headroom < in.Service.Spec.CPUs/2 {
+		in.Headroom = 0 // services have all but stopped coming
+	}
 	return in
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,14 +21,14 @@
 
 // Node is one running controller.
 type Node struct {
-	start  time.Time
-	mu     sync.Mutex // guards queue
-	queue  []func()
-	wake   chan struct{}
-	core   *controller.Core
-	state  *store.HTTP
-	cloud  *cloud.HTTP
-	links  *peer.Links
+	start time.Time
+	mu    sync.Mutex // guards queue
+	queue []func()
+	wake  chan struct{}
+	core  *controller.Core
+	state *store.HTTP
+	cloud *cloud.HTTP
+	links *peer.Links
 }
 
 // reserved sockets are kept back for the state service, the cloud and peers.
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	"lilacthread/wire/fb"
+)
+
+func sample() *Msg {
+	return &Msg{ID: 7, Kind: fb.KindStatus, Node: "n", Term: 3, StateOK: true, Reports: 2, Job: "req-000001",
+		Body: []byte{1, 2}, Code: 200, Phase: "done", Done: 4, Running: 5}
+}
+
+func TestFrame(t *testing.T) {
+	var buf bytes.Buffer
+	want := sample()
+	if err := WriteFrame(&buf, want.Encode()); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadFrame(&buf)
+	if err != nil || !bytes.Equal(got.Encode(), want.Encode()) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	for name, raw := range map[string][]byte{
+		"oversized": {0xff, 0xff, 0xff, 0xff},
+		"cut off":   {0, 0, 0, 9, 1},
+		"invalid":   {0, 0, 0, 8, 0xff, 0xff, 0xff, 0x7f, 0, 0, 0, 0},
+	} {
+		if m, err := ReadFrame(bytes.NewReader(raw)); err == nil {
+			t.Errorf("%s: %+v", name, m)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(sample().Encode())
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		if m, err := Decode(frame); err == nil && m.Kind > fb.KindAnswer {
+			t.Fatal("unknown kind let through")
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/cloud.go
@@ -0,0 +1,171 @@
+package sim
+
+import (
+	"fmt"
+
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// Cloud is the stand-in of the cloud; it also keeps the machines' workers.
+type Cloud struct {
+	w        *World
+	Types    []wire.MachineType
+	Capacity map[string]int // by type/zone/kind; missing: unlimited
+	Machines map[string]*Worker
+	bids     map[string][]string
+	count    int
+	Outage   bool
+	NoBoot   int    // so many of the next machines never come up
+	LateRent Micros // the next rental is executed this much later, with no answer
+	Boot     Micros // boot time; 0: the type's
+}
+
+func newCloud(w *World) *Cloud {
+	return &Cloud{w: w, Capacity: map[string]int{}, Machines: map[string]*Worker{}, bids: map[string][]string{}}
+}
+
+func kindKey(typ, zone string, spot bool) string {
+	if spot {
+		return typ + "/" + zone + "/spot"
+	}
+	return typ + "/" + zone
+}
+
+func (c *Cloud) typ(name string) *wire.MachineType {
+	for i := range c.Types {
+		if c.Types[i].Name == name {
+			return &c.Types[i]
+		}
+	}
+	return nil
+}
+
+func (c *Cloud) rent(r *wire.RentRequest) ([]string, bool) {
+	if ids, ok := c.bids[r.Request]; ok {
+		return ids, true
+	}
+	t := c.typ(r.Type)
+	if t == nil {
+		return nil, false
+	}
+	n := r.Count
+	key := kindKey(r.Type, r.Zone, r.Spot)
+	if free, limited := c.Capacity[key]; limited {
+		if free == 0 {
+			return nil, false
+		}
+		n = min(n, free)
+		c.Capacity[key] -= n
+	}
+	var ids []string
+	for range n {
+		c.count++
+		x := newWorker(c.w, fmt.Sprintf("m-%06d", c.count), t, r.Zone, r.Spot)
+		c.Machines[x.id] = x
+		ids = append(ids, x.id)
+		if c.NoBoot > 0 {
+			c.NoBoot--
+			continue
+		}
+		boot := Micros(t.Boot * 1e6)
+		if c.Boot > 0 {
+			boot = c.Boot
+		}
+		c.w.After(boot, x.boot)
+	}
+	c.bids[r.Request] = ids
+	return ids, true
+}
+
+// remove takes a machine away with everything on it.
+func (c *Cloud) remove(id string) {
+	x := c.Machines[id]
+	if x == nil {
+		return
+	}
+	x.die()
+	delete(c.Machines, id)
+	if key := kindKey(x.typ.Name, x.zone, x.spot); c.Capacity[key] > 0 || c.limited(key) {
+		c.Capacity[key]++
+	}
+}
+
+func (c *Cloud) limited(key string) bool {
+	_, ok := c.Capacity[key]
+	return ok
+}
+
+type cloudClient struct{ e *env }
+
+func (c *cloudClient) cloud() *Cloud { return c.e.n.w.Cloud }
+
+func (c *cloudClient) call(f func() func(), refused, unknown func()) {
+	w := c.e.n.w
+	w.call(c.e.n.name, "cloud", 5*sec, func(respond func(func())) {
+		w.After(80*ms, func() {
+			if w.Cloud.Outage {
+				respond(c.e.alive(refused))
+				return
+			}
+			respond(c.e.alive(f()))
+		})
+	}, c.e.alive(unknown))
+}
+
+func (c *cloudClient) Catalog(done func(store.Outcome, *wire.Catalog)) {
+	c.call(func() func() {
+		cat := &wire.Catalog{Types: append([]wire.MachineType(nil), c.cloud().Types...)}
+		return func() { done(store.OK, cat) }
+	}, func() { done(store.Refused, nil) }, func() { done(store.Unknown, nil) })
+}
+
+func (c *cloudClient) Rent(r *wire.RentRequest, done func(store.Outcome, []string)) {
+	if d := c.cloud().LateRent; d > 0 {
+		c.cloud().LateRent = 0
+		c.e.n.w.After(d, func() { c.cloud().rent(r) })
+		c.e.After(5*sec, func() { done(store.Unknown, nil) })
+		return
+	}
+	c.call(func() func() {
+		ids, ok := c.cloud().rent(r)
+		if !ok {
+			return func() { done(store.Failed, nil) }
+		}
+		return func() { done(store.OK, ids) }
+	}, func() { done(store.Refused, nil) }, func() { done(store.Unknown, nil) })
+}
+
+func (c *cloudClient) Release(ids []string, done func(store.Outcome)) {
+	c.call(func() func() {
+		for _, id := range ids {
+			c.cloud().remove(id)
+		}
+		return func() { done(store.OK) }
+	}, func() { done(store.Refused) }, func() { done(store.Unknown) })
+}
+
+func (c *cloudClient) List(after string, limit int, done func(store.Outcome, *wire.MachineList)) {
+	c.call(func() func() {
+		w := c.e.n.w
+		lag := Micros(w.Config.Params.Cloud.ListLag * 1e6)
+		l := &wire.MachineList{}
+		for _, id := range sortedKeys(c.cloud().Machines) {
+			x := c.cloud().Machines[id]
+			if id <= after || w.now-x.born < lag {
+				continue
+			}
+			if len(l.Machines) == limit {
+				l.More = true
+				break
+			}
+			state := wire.MachineStarting
+			if x.up {
+				state = wire.MachineRunning
+			}
+			l.Machines = append(l.Machines, wire.ListedMachine{ID: id, Addr: x.id, Type: x.typ.Name, Zone: x.zone,
+				Spot: x.spot, State: state, Age: (w.now - x.born - lag).Seconds()})
+		}
+		return func() { done(store.OK, l) }
+	}, func() { done(store.Refused, nil) }, func() { done(store.Unknown, nil) })
+}
--- /dev/null
+++ b/internal/sim/rules.go
@@ -0,0 +1,196 @@
+package sim
+
+import (
+	"fmt"
+
+	"lilacthread/internal/controller"
+	"lilacthread/wire"
+)
+
+// Checker watches the protocol's rules. Names of broken rules are the
+// protocol's.
+type Checker struct {
+	Broken  []string
+	Limits  map[string]float64 // CPUs a team may use; 0: no limit
+	jobs    map[string]*judged
+	on      map[string]map[string]bool // task -> machines it is on
+	usage   map[string]float64
+	started int
+}
+
+type judged struct {
+	job       *wire.Job
+	accepted  bool
+	final     string
+	askCancel bool
+	goneBy    Micros // when all tasks of a cancelled job must be gone
+	told      bool
+	doneTasks map[int]bool
+	zones     map[string]int
+	machineOf map[int]place
+}
+
+type place struct {
+	machine, zone string
+}
+
+// NewChecker makes a checker.
+func NewChecker() *Checker {
+	return &Checker{Limits: map[string]float64{}, jobs: map[string]*judged{}, on: map[string]map[string]bool{}, usage: map[string]float64{}}
+}
+
+func (c *Checker) broke(rule, format string, args ...any) {
+	c.Broken = append(c.Broken, rule+": "+fmt.Sprintf(format, args...))
+}
+
+// Known tells the checker of a job that a user is about to submit.
+func (c *Checker) Known(job *wire.Job) {
+	c.jobs[job.ID] = &judged{job: job, doneTasks: map[int]bool{}, zones: map[string]int{}, machineOf: map[int]place{}}
+}
+
+// Submitted judges the answer to a submission.
+func (c *Checker) Submitted(id string, a controller.Answer) {
+	j := c.jobs[id]
+	switch a.Code {
+	case 200, 201:
+		j.accepted = true
+		c.phase(id, a)
+	case 400, 422:
+		if j.accepted {
+			c.broke("forgotten", "%s: repeated submission got %d", id, a.Code)
+		}
+	}
+}
+
+// Polled judges the answer to a query or cancellation.
+func (c *Checker) Polled(id string, a controller.Answer) {
+	j := c.jobs[id]
+	switch {
+	case a.Code == 200 && j == nil:
+		c.broke("invented", "%s", id)
+	case a.Code == 404 && j != nil && j.accepted:
+		c.broke("forgotten", "%s: 404", id)
+	case a.Code == 200:
+		c.phase(id, a)
+	}
+}
+
+func (c *Checker) phase(id string, a controller.Answer) {
+	j := c.jobs[id]
+	phase := a.Status.Phase
+	if j.final != "" && phase != j.final {
+		c.broke("went_back", "%s: %s after %s", id, phase, j.final)
+	}
+	switch phase {
+	case wire.PhaseDone:
+		if len(j.doneTasks) < j.job.Tasks {
+			c.broke("not_done", "%s: %d of %d tasks are", id, len(j.doneTasks), j.job.Tasks)
+		}
+		j.final = phase
+	case wire.PhaseCancelled:
+		if !j.askCancel {
+			c.broke("went_back", "%s: cancelled by nobody", id)
+		}
+		j.final = phase
+	}
+}
+
+// AskedCancel notes a user's wish.
+func (c *Checker) AskedCancel(id string) {
+	if j := c.jobs[id]; j != nil {
+		j.askCancel = true
+	}
+}
+
+// ToldCancelled notes the answer and when every task must be gone.
+func (c *Checker) ToldCancelled(id string, goneBy Micros) {
+	if j := c.jobs[id]; !j.told {
+		j.told, j.goneBy = true, goneBy
+	}
+}
+
+// Started judges a task that begins on a machine.
+func (c *Checker) Started(now Micros, task, machine, typ, zone string, spot bool) {
+	c.started++
+	id, index, _ := wire.SplitTask(task)
+	j := c.jobs[id]
+	if j == nil {
+		c.broke("invented", "%s started", task)
+		return
+	}
+	for other := range c.on[task] {
+		if other != machine {
+			c.broke("ran_twice", "%s on %s and %s", task, other, machine)
+		}
+	}
+	if j.told && now > j.goneBy {
+		c.broke("ran_cancelled", "%s started", task)
+	}
+	s := j.job
+	wrong := spot && !s.Spot || s.Zone != "" && s.Zone != zone
+	if len(s.Types) > 0 {
+		allowed := false
+		for _, t := range s.Types {
+			allowed = allowed || t == typ
+		}
+		wrong = wrong || !allowed
+	}
+	for z, n := range j.zones {
+		wrong = wrong || s.OneZone && n > 0 && z != zone
+	}
+	if s.Spread && j.zones[zone]+1 > (s.Tasks+1)/2 {
+		wrong = true
+	}
+	if wrong {
+		c.broke("wrong_place", "%s on %s in %s", task, typ, zone)
+	}
+	if c.on[task] == nil {
+		c.on[task] = map[string]bool{}
+	}
+	c.on[task][machine] = true
+	j.zones[zone]++
+	j.machineOf[index] = place{machine, zone}
+	c.usage[s.Team] += s.CPUs
+	if limit := c.Limits[s.Team]; limit > 0 && c.usage[s.Team] > limit+1e-6 {
+		c.broke("quota", "%s uses %v of %v", s.Team, c.usage[s.Team], limit)
+	}
+}
+
+// Left notes that a task is not on a machine any more.
+func (c *Checker) Left(task, machine, zone string) {
+	if !c.on[task][machine] {
+		return
+	}
+	delete(c.on[task], machine)
+	id, _, _ := wire.SplitTask(task)
+	if j := c.jobs[id]; j != nil {
+		j.zones[zone]--
+		c.usage[j.job.Team] -= j.job.CPUs
+	}
+}
+
+// Completed notes that a task is done.
+func (c *Checker) Completed(task string) {
+	id, index, _ := wire.SplitTask(task)
+	if j := c.jobs[id]; j != nil {
+		j.doneTasks[index] = true
+	}
+}
+
+// Sweep judges what time alone makes wrong.
+func (c *Checker) Sweep(now Micros) {
+	for _, task := range sortedKeys(c.on) {
+		id, _, _ := wire.SplitTask(task)
+		if j := c.jobs[id]; j != nil && j.told && now > j.goneBy && len(c.on[task]) > 0 {
+			c.broke("ran_cancelled", "%s is still on a machine", task)
+			j.told = false // once is enough
+		}
+	}
+}
+
+// Finish judges the whole day.
+func (c *Checker) Finish() {
+	if c.started == 0 && len(c.jobs) > 0 {
+		c.broke("nothing_ran", "no task was started")
+	}
+}
--- /dev/null
+++ b/internal/sim/script.go
@@ -0,0 +1,378 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"lilacthread/internal/config"
+	"lilacthread/wire"
+)
+
+func itoa(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// script is a scenario being played. A line is a verb with words and key=value
+// pairs; "at T verb ..." does it at second T of virtual time, "expect" lines
+// are judged at the end, "run T" says when that is. '#' begins a comment.
+type script struct {
+	w      *World
+	until  Micros
+	expect []func() error
+}
+
+type args struct {
+	words []string
+	pairs map[string]string
+}
+
+func parseArgs(fields []string) args {
+	a := args{pairs: map[string]string{}}
+	for _, f := range fields {
+		if k, v, ok := strings.Cut(f, "="); ok {
+			a.pairs[k] = v
+		} else {
+			a.words = append(a.words, f)
+		}
+	}
+	return a
+}
+
+func (a args) word(i int) string {
+	if i < len(a.words) {
+		return a.words[i]
+	}
+	return ""
+}
+
+func (a args) num(key string, def float64) float64 {
+	v, ok := a.pairs[key]
+	if !ok {
+		return def
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		panic(fmt.Sprintf("%s=%s: not a number", key, v))
+	}
+	return x
+}
+
+func (a args) has(flag string) bool { return slices.Contains(a.words, flag) }
+
+// Play runs a scenario and returns what went wrong.
+func Play(text string) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			if s, ok := r.(string); ok { // a mistake in the scenario
+				err = fmt.Errorf("%s", s)
+				return
+			}
+			panic(r)
+		}
+	}()
+	s := &script{until: 300 * sec}
+	s.w = NewWorld(3, []string{"a", "b"}, 7)
+	for n, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		fields := strings.Fields(line)
+		if len(fields) == 0 {
+			continue
+		}
+		at := Micros(0)
+		if fields[0] == "at" {
+			t, err := strconv.ParseFloat(fields[1], 64)
+			if err != nil {
+				return fmt.Errorf("line %d: %w", n+1, err)
+			}
+			at, fields = Micros(t*1e6), fields[2:]
+		}
+		do := s.verb(fields[0], parseArgs(fields[1:]))
+		if do == nil {
+			return fmt.Errorf("line %d: unknown verb %q", n+1, fields[0])
+		}
+		if at > 0 {
+			s.w.At(at, do)
+		} else {
+			do()
+		}
+	}
+	if len(s.w.Config.Params.Teams) == 0 {
+		s.team("core", 0, 0)
+	}
+	for _, node := range s.w.Nodes {
+		node.Start()
+	}
+	var sweep func()
+	sweep = func() {
+		s.w.Rules.Sweep(s.w.now)
+		s.w.After(sec, sweep)
+	}
+	sweep()
+	s.w.Run(s.until)
+	s.w.Rules.Finish()
+	if len(s.w.Rules.Broken) > 0 {
+		return fmt.Errorf("rules broken: %s", strings.Join(s.w.Rules.Broken, "; "))
+	}
+	for _, e := range s.expect {
+		if err := e(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *script) team(name string, guarantee, limit float64) {
+	s.w.Config.Params.Teams = append(s.w.Config.Params.Teams, config.Team{Name: name, CPUs: guarantee, CPUsMax: limit})
+	s.w.Rules.Limits[name] = limit
+}
+
+func (s *script) node(name string) *Node {
+	if name == "leader" {
+		if l := s.w.Leader(); l != nil {
+			return l
+		}
+		panic("there is no leader now")
+	}
+	if name == "follower" {
+		for _, n := range s.w.Nodes {
+			if n != s.w.Leader() && n.Up() {
+				return n
+			}
+		}
+	}
+	if n := s.w.node(name); n != nil {
+		return n
+	}
+	panic("no node " + name)
+}
+
+// worker finds a machine: by name, or the first that runs a task of a job.
+func (s *script) worker(a args) *Worker {
+	if job := a.pairs["of"]; job != "" {
+		for _, id := range sortedKeys(s.w.Cloud.Machines) {
+			x := s.w.Cloud.Machines[id]
+			for _, t := range x.tasks {
+				if strings.HasPrefix(t.task, job+"/") && t.state != wire.TaskExited {
+					return x
+				}
+			}
+		}
+		panic("no machine runs " + job)
+	}
+	if x := s.w.Cloud.Machines[a.pairs["machine"]]; x != nil {
+		return x
+	}
+	panic("no machine " + a.pairs["machine"])
+}
+
+func (s *script) hosts(word string) []string {
+	switch word {
+	case "state", "cloud", "users":
+		return []string{word}
+	case "workers":
+		return sortedKeys(s.w.Cloud.Machines)
+	case "peers":
+		var names []string
+		for _, n := range s.w.Nodes {
+			names = append(names, n.name)
+		}
+		return names
+	}
+	return []string{s.node(word).name}
+}
+
+func (s *script) verb(name string, a args) func() {
+	w := s.w
+	span := func(key string, def float64) Micros { return Micros(a.num(key, def) * 1e6) }
+	switch name {
+	case "run":
+		t, err := strconv.ParseFloat(a.word(0), 64)
+		if err != nil {
+			panic("run: " + a.word(0))
+		}
+		return func() { s.until = Micros(t * 1e6) }
+	case "team":
+		return func() { s.team(a.word(0), a.num("cpus", 0), a.num("max", 0)) }
+	case "type":
+		return func() {
+			zones := []string{"a"}
+			if z := a.pairs["zones"]; z != "" {
+				zones = strings.Split(z, ",")
+			}
+			w.Cloud.Types = append(w.Cloud.Types, wire.MachineType{Name: a.word(0), CPUs: a.num("cpus", 8),
+				MemoryGB: a.num("mem", 32), CacheGB: 50, FetchRate: a.num("fetch", 1), Price: a.num("price", 1),
+				SpotPrice: a.num("spot", 0.3), Boot: a.num("boot", 10), Zones: zones})
+		}
+	case "capacity":
+		return func() { w.Cloud.Capacity[a.word(0)] = int(a.num("count", 0)) }
+	case "submit":
+		job := s.job(a)
+		return func() { w.Submit(job) }
+	case "resubmit":
+		return func() { w.Users[a.word(0)].submit() }
+	case "poll":
+		return func() {
+			if u := w.Users[a.word(0)]; u != nil {
+				u.Poll(nil)
+				return
+			}
+			u := &User{w: w, job: &wire.Job{ID: a.word(0)}}
+			u.Poll(nil)
+		}
+	case "cancel":
+		return func() { w.Users[a.word(0)].Cancel() }
+	case "kill":
+		return func() {
+			var nodes []*Node
+			if a.word(0) == "all" {
+				nodes = w.Nodes
+			} else {
+				nodes = []*Node{s.node(a.word(0))}
+			}
+			for _, n := range nodes {
+				n.Kill()
+				w.After(span("for", 5), n.Start)
+			}
+		}
+	case "cut":
+		return func() {
+			mode := Drop
+			if a.has("hold") {
+				mode = Hold
+			}
+			from := s.hosts(a.word(0))[0]
+			var to []string
+			for _, word := range a.words[1:] {
+				if word != "hold" && word != "drop" {
+					to = append(to, s.hosts(word)...)
+				}
+			}
+			for _, t := range to {
+				if t != from {
+					w.SetCut(from, t, mode)
+					w.After(span("for", 20), func() { w.SetCut(from, t, None) })
+				}
+			}
+		}
+	case "isolate": // one machine from all controllers
+		return func() {
+			mode := Drop
+			if a.has("hold") {
+				mode = Hold
+			}
+			x := s.worker(a)
+			for _, n := range w.Nodes {
+				w.SetCut(x.id, n.name, mode)
+				w.After(span("for", 20), func() { w.SetCut(x.id, n.name, None) })
+			}
+		}
+	case "refuse":
+		return func() {
+			n := s.node(a.word(0)).name
+			w.State.Refuse[n] = true
+			w.After(span("for", 20), func() { w.State.Refuse[n] = false; w.State.notify() })
+		}
+	case "outage":
+		return func() {
+			switch a.word(0) {
+			case "state":
+				w.State.SetOutage(true)
+				w.After(span("for", 20), func() { w.State.SetOutage(false) })
+			case "cloud":
+				w.Cloud.Outage = true
+				w.After(span("for", 20), func() { w.Cloud.Outage = false })
+			}
+		}
+	case "late-txn":
+		return func() { w.State.Late[s.node(a.word(0)).name] = span("by", 10) }
+	case "lost-answer":
+		return func() { w.State.Lost[s.node(a.word(0)).name] = true }
+	case "late-rent":
+		return func() { w.Cloud.LateRent = span("by", 20) }
+	case "no-boot":
+		return func() { w.Cloud.NoBoot = int(a.num("count", 1)) }
+	case "hang":
+		return func() {
+			x := s.worker(a)
+			x.Hang(true)
+			w.After(span("for", 5), func() { x.Hang(false) })
+		}
+	case "sick":
+		return func() { s.worker(a).Sick = true }
+	case "notice":
+		return func() { s.worker(a).Notify(span("in", 8)) }
+	case "take":
+		return func() { w.Cloud.remove(s.worker(a).id) }
+	case "expect":
+		return s.expectation(a)
+	}
+	return nil
+}
+
+func (s *script) job(a args) *wire.Job {
+	kinds := map[string]string{"array": wire.KindArray, "gang": wire.KindGang, "service": wire.KindService}
+	priorities := map[string]string{"low": "best_effort", "normal": "normal", "high": "urgent", "production": "prod"}
+	j := &wire.Job{ID: a.word(0), Class: "c", Team: "core", Kind: kinds[a.word(1)], Priority: "normal",
+		Tasks: int(a.num("tasks", 1)), CPUs: a.num("cpus", 2), MemoryGB: a.num("mem", 2), Image: "img", ImageGB: 1,
+		Estimate: a.num("run", 10), Checkpoint: a.num("checkpoint", 0), Save: a.num("save", 0),
+		Zone: a.pairs["zone"], OneZone: a.has("together"), Spread: a.has("spread"), Spot: a.has("spot")}
+	if t := a.pairs["team"]; t != "" {
+		j.Team = t
+	}
+	if i := a.pairs["image"]; i != "" {
+		j.Image = i
+	}
+	if p := a.pairs["priority"]; p != "" {
+		j.Priority = priorities[p]
+	}
+	if j.Kind == "" || j.Priority == "" {
+		panic("submit: kind or priority of " + j.ID)
+	}
+	return j
+}
+
+// expectation is judged at the end, or at the time given by "at".
+func (s *script) expectation(a args) func() {
+	w := s.w
+	check := func() error {
+		switch a.word(0) {
+		case "machines":
+			if n := len(w.Cloud.Machines); n > int(a.num("max", 1e9)) || n < int(a.num("min", 0)) {
+				return fmt.Errorf("t=%v: %d machines", w.now.Seconds(), n)
+			}
+			return nil
+		case "running":
+			n := 0
+			for task, on := range w.Rules.on {
+				if strings.HasPrefix(task, a.word(1)+"/") {
+					n += len(on)
+				}
+			}
+			if n != int(a.num("tasks", 0)) {
+				return fmt.Errorf("t=%v: %s has %d tasks on machines, not %v", w.now.Seconds(), a.word(1), n, a.num("tasks", 0))
+			}
+			return nil
+		}
+		u := w.Users[a.word(0)]
+		if u == nil {
+			return fmt.Errorf("nobody submitted %s", a.word(0))
+		}
+		want := map[string]string{"done": wire.PhaseDone, "cancelled": wire.PhaseCancelled, "running": wire.PhaseRunning, "queued": wire.PhaseQueued}[a.word(1)]
+		if a.word(1) == "refused" && u.code == 422 {
+			return nil
+		}
+		if u.Last != want {
+			return fmt.Errorf("t=%v: %s is %q, not %q (answer %d)", w.now.Seconds(), a.word(0), u.Last, a.word(1), u.code)
+		}
+		return nil
+	}
+	return func() {
+		if w.now > 0 {
+			if err := check(); err != nil {
+				s.expect = append(s.expect, func() error { return err })
+			}
+			return
+		}
+		s.expect = append(s.expect, check)
+	}
+}
--- /dev/null
+++ b/internal/sim/sim_test.go
@@ -0,0 +1,80 @@
+package sim
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lilacthread/internal/controller"
+	"lilacthread/wire"
+)
+
+// TestScenarios plays every scenario in testdata under the rules.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) < 20 {
+		t.Fatalf("scenarios: %d found, %v", len(files), err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := Play(string(text)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestCheckerCatches shows that each rule's violation is seen.
+func TestCheckerCatches(t *testing.T) {
+	const id, task = "req-000001", "req-000001/0"
+	told := func(phase string) controller.Answer {
+		return controller.Answer{Code: 200, Status: wire.JobStatus{ID: id, Phase: phase}}
+	}
+	job := func() *wire.Job {
+		return &wire.Job{ID: id, Team: "core", Kind: wire.KindArray, Tasks: 2, CPUs: 2, Zone: "a"}
+	}
+	cases := map[string]func(c *Checker){
+		"ran_twice": func(c *Checker) {
+			c.Started(0, task, "m-1", "t", "a", false)
+			c.Started(0, task, "m-2", "t", "a", false)
+		},
+		"quota": func(c *Checker) {
+			c.Limits["core"] = 3
+			c.Started(0, task, "m-1", "t", "a", false)
+			c.Started(0, "req-000001/1", "m-1", "t", "a", false)
+		},
+		"wrong_place": func(c *Checker) { c.Started(0, task, "m-1", "t", "b", false) },
+		"ran_cancelled": func(c *Checker) {
+			c.Started(0, task, "m-1", "t", "a", false)
+			c.AskedCancel(id)
+			c.ToldCancelled(id, 40*sec)
+			c.Sweep(41 * sec)
+		},
+		"forgotten": func(c *Checker) {
+			c.Submitted(id, controller.Answer{Code: 201, Status: wire.JobStatus{ID: id, Phase: wire.PhaseQueued}})
+			c.Polled(id, controller.Answer{Code: 404})
+		},
+		"invented": func(c *Checker) { c.Polled("req-000009", told(wire.PhaseQueued)) },
+		"not_done": func(c *Checker) { c.Polled(id, told(wire.PhaseDone)) },
+		"went_back": func(c *Checker) {
+			c.Completed(task)
+			c.Completed("req-000001/1")
+			c.Polled(id, told(wire.PhaseDone))
+			c.Polled(id, told(wire.PhaseRunning))
+		},
+		"nothing_ran": func(c *Checker) { c.Finish() },
+	}
+	for rule, break_ := range cases {
+		c := NewChecker()
+		c.Known(job())
+		break_(c)
+		if len(c.Broken) == 0 || !strings.HasPrefix(c.Broken[0], rule+":") {
+			t.Errorf("%s not caught: %v", rule, c.Broken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/state.go
@@ -0,0 +1,288 @@
+package sim
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lilacthread/internal/lead"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// State is the stand-in of the state service.
+type State struct {
+	w        *World
+	revision uint64
+	items    map[string]*wire.Item
+	leases   map[uint64]*lease
+	nextID   uint64
+	log      []wire.Event
+	watches  []*watch
+	Outage   bool
+	Refuse   map[string]bool   // nodes that get 503
+	Late     map[string]Micros // nodes whose next transaction is applied this much later, with no answer
+	Lost     map[string]bool   // nodes whose next transaction is applied, with no answer
+}
+
+type lease struct {
+	ttl Micros
+	end Micros
+}
+
+type watch struct {
+	prefix string
+	since  uint64
+	fire   func()
+	done   bool
+}
+
+func newState(w *World) *State {
+	s := &State{w: w, items: map[string]*wire.Item{}, leases: map[uint64]*lease{},
+		Refuse: map[string]bool{}, Late: map[string]Micros{}, Lost: map[string]bool{}}
+	var expire func()
+	expire = func() {
+		if !s.Outage {
+			for _, id := range s.leaseIDs() {
+				if w.now >= s.leases[id].end {
+					s.drop(id)
+				}
+			}
+		}
+		w.After(50*ms, expire)
+	}
+	w.After(0, expire)
+	return s
+}
+
+func (s *State) leaseIDs() []uint64 {
+	var ids []uint64
+	for id := range s.leases {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func (s *State) drop(id uint64) {
+	delete(s.leases, id)
+	var gone []wire.Change
+	for _, k := range sortedKeys(s.items) {
+		if s.items[k].Lease == id {
+			gone = append(gone, wire.Change{Delete: k})
+		}
+	}
+	if len(gone) > 0 {
+		s.apply(gone)
+	}
+}
+
+// SetOutage begins or ends an outage; after it every lease has its full time.
+func (s *State) SetOutage(on bool) {
+	s.Outage = on
+	if !on {
+		for _, l := range s.leases {
+			l.end = s.w.now + l.ttl
+		}
+		s.notify()
+	}
+}
+
+func (s *State) leader() string {
+	var rec lead.Record
+	if it := s.items[lead.Key]; it != nil && msgpack.Unmarshal(it.Value, &rec) == nil {
+		return rec.Node
+	}
+	return ""
+}
+
+func (s *State) apply(changes []wire.Change) {
+	s.revision++
+	for _, c := range changes {
+		if c.Delete != "" {
+			delete(s.items, c.Delete)
+			s.log = append(s.log, wire.Event{Delete: c.Delete, Version: s.revision})
+			continue
+		}
+		s.items[c.Put] = &wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
+		s.log = append(s.log, wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
+	}
+	s.notify()
+}
+
+func (s *State) notify() {
+	if s.Outage {
+		return
+	}
+	keep := s.watches[:0]
+	var fire []*watch
+	for _, w := range s.watches {
+		if w.done {
+			continue
+		}
+		if len(s.since(w.prefix, w.since)) > 0 {
+			fire = append(fire, w)
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	s.watches = keep
+	for _, w := range fire {
+		w.done = true
+		w.fire()
+	}
+}
+
+func (s *State) since(prefix string, rev uint64) []wire.Event {
+	var out []wire.Event
+	for _, e := range s.log {
+		if e.Version > rev && strings.HasPrefix(e.Put+e.Delete, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (s *State) txn(t *wire.Txn) (store.Outcome, *wire.TxnAnswer) {
+	a := &wire.TxnAnswer{}
+	for _, g := range t.If {
+		v := uint64(0)
+		if it := s.items[g.Key]; it != nil {
+			v = it.Version
+		}
+		if v != g.Version {
+			a.Failed = append(a.Failed, g.Key)
+		}
+	}
+	for _, c := range t.Then {
+		if c.Lease != 0 && s.leases[c.Lease] == nil {
+			return store.Refused, a
+		}
+	}
+	if len(a.Failed) > 0 {
+		a.Revision = s.revision
+		return store.Failed, a
+	}
+	if len(t.Then) > 0 {
+		s.apply(t.Then)
+	}
+	a.Revision = s.revision
+	return store.OK, a
+}
+
+// stateClient is the service as one node reaches it.
+type stateClient struct{ e *env }
+
+func (c *stateClient) state() *State { return c.e.n.w.State }
+
+// call runs f at the service unless it is out for this node.
+func (c *stateClient) call(f func() func(), refused, unknown func()) {
+	s := c.state()
+	c.e.n.w.call(c.e.n.name, "state", 1500*ms, func(respond func(func())) {
+		if s.Outage || s.Refuse[c.e.n.name] {
+			respond(c.e.alive(refused))
+			return
+		}
+		respond(c.e.alive(f()))
+	}, c.e.alive(unknown))
+}
+
+func (c *stateClient) List(prefix, after string, limit int, done func(store.Outcome, *wire.ItemList)) {
+	s := c.state()
+	c.call(func() func() {
+		l := &wire.ItemList{Revision: s.revision}
+		for _, k := range sortedKeys(s.items) {
+			if strings.HasPrefix(k, prefix) && k > after {
+				if len(l.Items) == limit {
+					l.More = true
+					break
+				}
+				l.Items = append(l.Items, *s.items[k])
+			}
+		}
+		return func() { done(store.OK, l) }
+	}, func() { done(store.Refused, &wire.ItemList{}) }, func() { done(store.Unknown, &wire.ItemList{}) })
+}
+
+func (c *stateClient) Get(key string, done func(store.Outcome, *wire.Item)) {
+	s := c.state()
+	c.call(func() func() {
+		if it := s.items[key]; it != nil {
+			copied := *it
+			return func() { done(store.OK, &copied) }
+		}
+		return func() { done(store.Failed, &wire.Item{}) }
+	}, func() { done(store.Refused, &wire.Item{}) }, func() { done(store.Unknown, &wire.Item{}) })
+}
+
+func (c *stateClient) Txn(t *wire.Txn, done func(store.Outcome, *wire.TxnAnswer)) {
+	s, name := c.state(), c.e.n.name
+	if d, ok := s.Late[name]; ok && len(t.Then) > 0 {
+		delete(s.Late, name)
+		c.e.n.w.After(d, func() { s.txn(t) })
+		c.e.After(1500*ms, func() { done(store.Unknown, &wire.TxnAnswer{}) })
+		return
+	}
+	lost := s.Lost[name]
+	delete(s.Lost, name)
+	c.call(func() func() {
+		o, a := s.txn(t)
+		if lost {
+			return func() { c.e.After(1500*ms, func() { done(store.Unknown, &wire.TxnAnswer{}) }) }
+		}
+		return func() { done(o, a) }
+	}, func() { done(store.Refused, &wire.TxnAnswer{}) }, func() { done(store.Unknown, &wire.TxnAnswer{}) })
+}
+
+func (c *stateClient) Grant(ttl int64, done func(store.Outcome, uint64)) {
+	s := c.state()
+	c.call(func() func() {
+		s.nextID++
+		id := s.nextID
+		s.leases[id] = &lease{Micros(ttl) * ms, s.w.now + Micros(ttl)*ms}
+		return func() { done(store.OK, id) }
+	}, func() { done(store.Refused, 0) }, func() { done(store.Unknown, 0) })
+}
+
+func (c *stateClient) Renew(id uint64, done func(store.Outcome)) {
+	s := c.state()
+	c.call(func() func() {
+		l := s.leases[id]
+		if l == nil {
+			return func() { done(store.Failed) }
+		}
+		l.end = s.w.now + l.ttl
+		return func() { done(store.OK) }
+	}, func() { done(store.Refused) }, func() { done(store.Unknown) })
+}
+
+func (c *stateClient) Revoke(id uint64, done func(store.Outcome)) {
+	s := c.state()
+	c.call(func() func() {
+		s.drop(id)
+		return func() { done(store.OK) }
+	}, func() { done(store.Refused) }, func() { done(store.Unknown) })
+}
+
+func (c *stateClient) Watch(prefix string, since uint64, wait int64, done func(store.Outcome, *wire.WatchAnswer)) {
+	s, w := c.state(), c.e.n.w
+	w.call(c.e.n.name, "state", Micros(wait)*ms+3*sec, func(respond func(func())) {
+		x := &watch{prefix: prefix, since: since}
+		x.fire = func() {
+			if s.Refuse[c.e.n.name] {
+				return // an open watch waits on, as in an outage
+			}
+			a := &wire.WatchAnswer{Revision: s.revision, Events: s.since(prefix, since)}
+			respond(c.e.alive(func() { done(store.OK, a) }))
+		}
+		s.watches = append(s.watches, x)
+		w.After(Micros(wait)*ms, func() {
+			if !x.done && !s.Outage {
+				x.done = true
+				x.fire()
+			}
+		})
+		s.notify()
+	}, c.e.alive(func() { done(store.Unknown, &wire.WatchAnswer{}) }))
+}
--- /dev/null
+++ b/internal/sim/worker.go
@@ -0,0 +1,347 @@
+package sim
+
+import (
+	"lilacthread/wire"
+)
+
+// Worker is the stand-in of one machine's worker.
+type Worker struct {
+	w    *World
+	id   string
+	typ  *wire.MachineType
+	zone string
+	spot bool
+	born Micros
+
+	up, dead, hung bool
+	Sick           bool // every task fails
+	session, seq   uint64
+	token          uint64
+	node           int // index of the node it reports to
+	renewed        Micros
+	tasks          map[string]*simTask // by task and attempt
+	order          []string
+	images         map[string]bool
+	notice         Micros
+	backlog        []func() // what a hanging machine does when it goes on
+}
+
+type simTask struct {
+	task    string
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+	job     *wire.Job
+	began   Micros
+	change  int // cancels timers of an earlier state
+}
+
+func newWorker(w *World, id string, t *wire.MachineType, zone string, spot bool) *Worker {
+	return &Worker{w: w, id: id, typ: t, zone: zone, spot: spot, born: w.now, session: 1,
+		tasks: map[string]*simTask{}, images: map[string]bool{}, node: len(id) % len(w.Nodes)}
+}
+
+func (x *Worker) boot() {
+	if x.dead {
+		return
+	}
+	x.up, x.renewed = true, x.w.now
+	x.report()
+	var lease func()
+	lease = func() {
+		if x.dead {
+			return
+		}
+		// A worker checks its lease even while it hangs: what it would do later
+		// must not outlive the lease.
+		if x.w.now-x.renewed > Micros(x.w.Config.Params.Workers.Lease*1e6) {
+			x.killAll()
+			x.session++
+			x.renewed = x.w.now
+		}
+		x.w.After(50*ms, lease)
+	}
+	lease()
+}
+
+func (x *Worker) die() {
+	x.killAll()
+	x.dead, x.up = true, false
+}
+
+func (x *Worker) killAll() {
+	for _, k := range x.order {
+		x.left(x.tasks[k])
+	}
+	x.tasks, x.order = map[string]*simTask{}, nil
+}
+
+func (x *Worker) left(t *simTask) {
+	t.change++
+	x.w.Rules.Left(t.task, x.id, x.zone)
+}
+
+// Hang stops the machine's execution, or lets it go on.
+func (x *Worker) Hang(on bool) {
+	x.hung = on
+	if !on {
+		todo := x.backlog
+		x.backlog = nil
+		for _, f := range todo {
+			f()
+		}
+	}
+}
+
+func (x *Worker) do(f func()) {
+	switch {
+	case x.dead:
+	case x.hung:
+		x.backlog = append(x.backlog, func() { x.do(f) })
+	default:
+		f()
+	}
+}
+
+// Notify gives a spot notice; the machine is taken when it is over.
+func (x *Worker) Notify(in Micros) {
+	x.notice = x.w.now + in
+	x.w.After(in, func() { x.w.Cloud.remove(x.id) })
+}
+
+func (x *Worker) snapshot() *wire.Report {
+	x.seq++
+	r := &wire.Report{Machine: x.id, Addr: x.id, Type: x.typ.Name, Zone: x.zone, Spot: x.spot,
+		Session: x.session, Seq: x.seq, Token: x.token, Tasks: []wire.TaskReport{}}
+	if x.notice > 0 {
+		left := (x.notice - x.w.now).Seconds()
+		r.Notice = &left
+	}
+	for _, k := range x.order {
+		t := x.tasks[k]
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.task, Attempt: t.attempt, State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+// report sends one report and, when it is over, the next.
+func (x *Worker) report() {
+	if x.dead {
+		return
+	}
+	if x.hung {
+		x.backlog = append(x.backlog, x.report)
+		return
+	}
+	w := x.w
+	every := Micros(w.Config.Params.Workers.Report * 1e6)
+	sent, session := w.now, x.session
+	n := w.Nodes[x.node]
+	next := func(d Micros) { w.After(d, x.report) }
+	other := func() {
+		x.node = (x.node + 1) % len(w.Nodes)
+		next(sec)
+	}
+	rep := x.snapshot()
+	w.call(x.id, n.name, 4*sec, func(respond func(func())) {
+		if !n.Up() {
+			return
+		}
+		// Through the real codec.
+		got, err := wire.DecodeReport(wire.Encode(rep))
+		if err != nil {
+			panic(err)
+		}
+		a := n.core.OnReport(got)
+		respond(func() {
+			x.do(func() {
+				switch a.Code {
+				case 200:
+					if a.Body.Token >= x.token && a.Body.Token > 0 && session == x.session && w.now-sent <= 4*sec {
+						x.token = a.Body.Token
+						x.renewed = max(x.renewed, sent)
+						x.run(a.Body.Commands)
+					}
+					next(every*3/4 + Micros(w.rng.IntN(int(every/2))))
+				case 421:
+					for i, o := range w.Nodes {
+						if o.name == a.Leader && i != x.node {
+							x.node = i
+							next(100 * ms)
+							return
+						}
+					}
+					other()
+				default:
+					other()
+				}
+			})
+		})
+	}, func() { x.do(other) })
+}
+
+func (x *Worker) run(cmds []wire.Command) {
+	for _, c := range cmds {
+		key := c.Task + "#" + itoa(c.Attempt)
+		t := x.tasks[key]
+		switch c.Op {
+		case wire.OpStart:
+			if t == nil {
+				x.start(key, c.Task, c.Attempt)
+			}
+		case wire.OpStop:
+			if t != nil && t.state != wire.TaskExited {
+				x.stop(t, *c.Grace)
+			}
+		case wire.OpForget:
+			if t != nil && t.state == wire.TaskExited {
+				delete(x.tasks, key)
+				for i, k := range x.order {
+					if k == key {
+						x.order = append(x.order[:i:i], x.order[i+1:]...)
+						break
+					}
+				}
+			}
+		}
+	}
+}
+
+func (x *Worker) start(key, task string, attempt uint64) {
+	id, _, _ := wire.SplitTask(task)
+	t := &simTask{task: task, attempt: attempt, state: wire.TaskFetching}
+	x.tasks[key] = t
+	x.order = append(x.order, key)
+	j := x.w.Rules.jobs[id]
+	if j == nil {
+		t.state, t.cause = wire.TaskExited, wire.CauseUnknown
+		return
+	}
+	t.job = j.job
+	cpus, mem := t.job.CPUs, t.job.MemoryGB
+	for _, k := range x.order {
+		o := x.tasks[k]
+		if o == t || o.state == wire.TaskExited {
+			continue
+		}
+		if o.task == task {
+			t.state, t.cause = wire.TaskExited, wire.CauseBusy
+			return
+		}
+		cpus += o.job.CPUs
+		mem += o.job.MemoryGB
+	}
+	if cpus > x.typ.CPUs+1e-6 || mem > x.typ.MemoryGB+1e-6 {
+		t.state, t.cause = wire.TaskExited, wire.CauseNoRoom
+		return
+	}
+	fetch := Micros(0)
+	if !x.images[t.job.Image] {
+		fetch = Micros(t.job.ImageGB / x.typ.FetchRate * 1e6)
+	}
+	x.later(t, fetch, func() {
+		x.images[t.job.Image] = true
+		x.w.Rules.Started(x.w.now, t.task, x.id, x.typ.Name, x.zone, x.spot)
+		if t.job.Kind == wire.KindGang {
+			t.state = wire.TaskWaiting
+			x.w.gang(t.job, t.attempt)
+			return
+		}
+		x.begin(t)
+	})
+}
+
+// later does f after d unless the task has changed meanwhile.
+func (x *Worker) later(t *simTask, d Micros, f func()) {
+	change := t.change
+	x.w.After(d, func() {
+		x.do(func() {
+			if t.change == change {
+				f()
+			}
+		})
+	})
+}
+
+func (x *Worker) begin(t *simTask) {
+	t.state, t.began = wire.TaskRunning, x.w.now
+	if x.Sick {
+		x.later(t, sec/2, func() { x.exit(t, wire.CauseError, false) })
+		return
+	}
+	if t.job.Kind != wire.KindService {
+		run := Micros(t.job.Estimate * 1e6) // the stand-in's owners estimate well
+		x.later(t, run, func() {
+			x.w.Rules.Completed(t.task)
+			x.exit(t, wire.CauseDone, false)
+		})
+	}
+}
+
+func (x *Worker) exit(t *simTask, cause string, saved bool) {
+	x.left(t)
+	t.state, t.cause, t.saved = wire.TaskExited, cause, saved
+	if t.job.Kind == wire.KindGang {
+		x.w.gangLost(t.job, t.attempt, cause)
+	}
+}
+
+func (x *Worker) stop(t *simTask, grace float64) {
+	if t.state == wire.TaskRunning && t.job.Checkpoint > 0 && grace >= t.job.Save {
+		t.state = wire.TaskSaving
+		t.change++
+		x.later(t, Micros(t.job.Save*1e6), func() { x.exit(t, wire.CauseStopped, true) })
+		return
+	}
+	if t.state == wire.TaskSaving && grace > 0 {
+		return
+	}
+	x.exit(t, wire.CauseStopped, false)
+}
+
+// gang starts a gang once all tasks of an attempt wait.
+func (w *World) gang(job *wire.Job, attempt uint64) {
+	members := w.members(job, attempt, wire.TaskWaiting)
+	if len(members) < job.Tasks {
+		return
+	}
+	for _, m := range members {
+		m.x.begin(m.t)
+	}
+}
+
+type member struct {
+	x *Worker
+	t *simTask
+}
+
+func (w *World) members(job *wire.Job, attempt uint64, states ...string) []member {
+	var out []member
+	for _, id := range sortedKeys(w.Cloud.Machines) {
+		x := w.Cloud.Machines[id]
+		for _, k := range x.order {
+			t := x.tasks[k]
+			for _, s := range states {
+				if t.job == job && t.attempt == attempt && t.state == s {
+					out = append(out, member{x, t})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// gangLost ends the rest of a running gang that lost a task otherwise than by
+// completing.
+func (w *World) gangLost(job *wire.Job, attempt uint64, cause string) {
+	if cause == wire.CauseDone {
+		return
+	}
+	w.After(Micros(w.Config.Params.Workers.GangPeer*1e6), func() {
+		for _, m := range w.members(job, attempt, wire.TaskRunning, wire.TaskSaving) {
+			m.x.left(m.t)
+			m.t.state, m.t.cause = wire.TaskExited, wire.CausePeers
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,358 @@
+// Package sim plays the outside world to controllers in virtual time: stand-ins
+// of the state service, the cloud, the workers and the users, written from the
+// protocol, with its rules as a checker. Nothing here sleeps or reads a clock,
+// so a scenario always ends the same way.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/config"
+	"lilacthread/internal/controller"
+	"lilacthread/internal/peer"
+	"lilacthread/internal/policy"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// Micros is the project's unit of time.
+type Micros = clock.Micros
+
+const (
+	ms  = clock.Millisecond
+	sec = clock.Second
+)
+
+type event struct {
+	at  Micros
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// Cut is how a link is interrupted.
+type Cut int
+
+// Kinds of cut.
+const (
+	None Cut = iota
+	Drop     // messages are lost
+	Hold     // messages arrive when the cut ends
+)
+
+// World is one simulated deployment.
+type World struct {
+	now    Micros
+	seq    int
+	queue  events
+	rng    *rand.Rand
+	pol    *policy.Policy
+	Config config.Config // shared settings; each node gets its own name
+	Nodes  []*Node
+	State  *State
+	Cloud  *Cloud
+	Rules  *Checker
+	Users  map[string]*User
+	cuts   map[[2]string]Cut
+	held   map[[2]string][]func()
+}
+
+// NewWorld makes a world with the given number of controllers.
+func NewWorld(nodes int, zones []string, seed uint64) *World {
+	w := &World{rng: rand.New(rand.NewPCG(seed, 1)), pol: policy.Default(), Users: map[string]*User{},
+		cuts: map[[2]string]Cut{}, held: map[[2]string][]func(){}}
+	p := &w.Config.Params
+	p.Size, p.Zones = nodes, zones
+	p.Workers.Report, p.Workers.Lease, p.Workers.Cancel = 1, 10, 40
+	p.Workers.GangWait, p.Workers.GangPeer = 50, 4
+	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 250, 100, 32, 32
+	p.Cloud.RPS, p.Cloud.ListLag = 2, 3
+	p.Resources.CPUShare, p.Resources.MemoryMB, p.Resources.FDLimit = 0.1, 100, 900
+	w.State = newState(w)
+	w.Cloud = newCloud(w)
+	w.Rules = NewChecker()
+	for i := range nodes {
+		w.Nodes = append(w.Nodes, &Node{w: w, name: fmt.Sprintf("node-%d", i)})
+	}
+	return w
+}
+
+// At runs f at an instant.
+func (w *World) At(t Micros, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{max(t, w.now), w.seq, f})
+}
+
+// After runs f after a span.
+func (w *World) After(d Micros, f func()) { w.At(w.now+d, f) }
+
+// Run plays until the instant.
+func (w *World) Run(until Micros) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.f()
+	}
+	w.now = until
+}
+
+func link(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// SetCut interrupts the link between two hosts, or mends it (None), which
+// delivers what was held, in order.
+func (w *World) SetCut(a, b string, c Cut) {
+	k := link(a, b)
+	w.cuts[k] = c
+	if c == None {
+		for _, f := range w.held[k] {
+			w.After(ms, f)
+		}
+		w.held[k] = nil
+	}
+}
+
+// send carries a message from one host to another.
+func (w *World) send(from, to string, deliver func()) {
+	switch k := link(from, to); w.cuts[k] {
+	case Drop:
+	case Hold:
+		w.held[k] = append(w.held[k], deliver)
+	default:
+		w.After(ms+Micros(w.rng.IntN(int(ms))), deliver)
+	}
+}
+
+// call is a request and its response; done(false) comes after the limit if
+// there was no response, and a response after that is ignored.
+func (w *World) call(from, to string, limit Micros, serve func(respond func(func())), fail func()) {
+	settled := false
+	w.send(from, to, func() {
+		serve(func(receive func()) {
+			w.send(to, from, func() {
+				if !settled {
+					settled = true
+					receive()
+				}
+			})
+		})
+	})
+	w.After(limit, func() {
+		if !settled {
+			settled = true
+			fail()
+		}
+	})
+}
+
+// Node is a controller process that can be killed and started again.
+type Node struct {
+	w    *World
+	name string
+	life int
+	core *controller.Core
+}
+
+// Up reports whether the process runs.
+func (n *Node) Up() bool { return n.core != nil }
+
+// Start starts the process.
+func (n *Node) Start() {
+	if n.Up() {
+		return
+	}
+	n.life++
+	cfg := n.w.Config
+	cfg.Name = n.name
+	for _, o := range n.w.Nodes {
+		if o != n {
+			cfg.Peers = append(append([]config.Peer(nil), cfg.Peers...), config.Peer{Name: o.name})
+		}
+	}
+	e := &env{n: n, life: n.life}
+	n.core = controller.New(e, &cfg, n.w.pol, n.w.rng.Uint64())
+	n.core.Start()
+}
+
+// Kill ends the process without a word.
+func (n *Node) Kill() {
+	n.core = nil
+	n.life++
+}
+
+// env is the world as one life of a node sees it.
+type env struct {
+	n    *Node
+	life int
+}
+
+// alive wraps a callback so that it dies with the process.
+func (e *env) alive(f func()) func() {
+	return func() {
+		if e.n.life == e.life && e.n.core != nil {
+			f()
+		}
+	}
+}
+
+func (e *env) Now() Micros              { return e.n.w.now }
+func (e *env) Wall() Micros             { return 1_700_000_000*sec + e.n.w.now }
+func (e *env) After(d Micros, f func()) { e.n.w.After(d, e.alive(f)) }
+func (e *env) State() store.Service     { return &stateClient{e} }
+func (e *env) Cloud() controller.Cloud  { return &cloudClient{e} }
+
+func (e *env) Ask(name string, m *peer.Msg, timeout Micros, done func(*peer.Msg)) {
+	w := e.n.w
+	frame := m.Encode() // the real codec, so that it is covered too
+	w.call(e.n.name, name, timeout, func(respond func(func())) {
+		to := w.node(name)
+		if to == nil || !to.Up() {
+			return
+		}
+		got, err := peer.Decode(frame)
+		if err != nil {
+			panic(err)
+		}
+		to.core.OnPeer(got, func(a *peer.Msg) { respond(e.alive(func() { done(a) })) })
+	}, e.alive(func() { done(nil) }))
+}
+
+func (w *World) node(name string) *Node {
+	for _, n := range w.Nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// Leader finds the node that the state service says leads.
+func (w *World) Leader() *Node {
+	name := w.State.leader()
+	return w.node(name)
+}
+
+// User is one user's view of one job.
+type User struct {
+	w    *World
+	job  *wire.Job
+	Last string // last phase told
+	code int
+}
+
+// Submit has a user submit a job and follow it until it is over.
+func (w *World) Submit(job *wire.Job) {
+	u := w.Users[job.ID]
+	if u == nil {
+		u = &User{w: w, job: job}
+		w.Users[job.ID] = u
+		w.Rules.Known(job)
+	}
+	u.submit()
+}
+
+func (u *User) ask(f func(c *controller.Core, reply func(controller.Answer)), done func(controller.Answer)) {
+	w := u.w
+	var up []*Node
+	for _, n := range w.Nodes {
+		if n.Up() && n.core.Ready() {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		w.After(100*ms, func() { done(controller.Answer{Code: 503}) })
+		return
+	}
+	n := up[w.rng.IntN(len(up))]
+	w.call("users", n.name, 5*sec, func(respond func(func())) {
+		if !n.Up() {
+			return
+		}
+		f(n.core, func(a controller.Answer) { respond(func() { done(a) }) })
+	}, func() { done(controller.Answer{Code: 0}) })
+}
+
+func (u *User) submit() {
+	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) },
+		func(a controller.Answer) {
+			u.code = a.Code
+			u.w.Rules.Submitted(u.job.ID, a)
+			switch a.Code {
+			case 200, 201:
+				u.Last = a.Status.Phase
+				u.w.After(5*sec, u.poll)
+			case 400, 422:
+			default:
+				u.w.After(sec, u.submit)
+			}
+		})
+}
+
+func (u *User) poll() {
+	if u.Last == wire.PhaseDone || u.Last == wire.PhaseCancelled {
+		return
+	}
+	u.Poll(func() { u.w.After(5*sec, u.poll) })
+}
+
+// Poll asks once for the job's state.
+func (u *User) Poll(then func()) {
+	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Status(u.job.ID, reply) },
+		func(a controller.Answer) {
+			u.w.Rules.Polled(u.job.ID, a)
+			if a.Code == 200 {
+				u.Last = a.Status.Phase
+			}
+			if then != nil {
+				then()
+			}
+		})
+}
+
+// Cancel has the user cancel until told that it is over.
+func (u *User) Cancel() {
+	u.w.Rules.AskedCancel(u.job.ID)
+	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Cancel(u.job.ID, reply) },
+		func(a controller.Answer) {
+			u.w.Rules.Polled(u.job.ID, a)
+			if a.Code != 200 {
+				u.w.After(sec, u.Cancel)
+				return
+			}
+			u.Last = a.Status.Phase
+			if a.Status.Phase == wire.PhaseCancelled {
+				u.w.Rules.ToldCancelled(u.job.ID, u.w.now+Micros(u.w.Config.Params.Workers.Cancel*1e6))
+			}
+		})
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,101 @@
+package wire
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+func submission() map[string]any {
+	return map[string]any{"uid": "req-000412", "skein": "train", "crew": "vision", "weave": "array", "rank": "normal",
+		"stitches": 16, "cores": 8.0, "accelerators": 1.0, "mem_gb": 64.0, "pattern": "img-07", "pull_gb": 6.2,
+		"looms": []string{"g8"}, "bolt": nil, "together": true, "apart": false, "remnant": true,
+		"expect_s": 240.0, "knot_s": 30.0, "tie_s": 4.0, "due_s": 900.0, "new": map[string]any{"x": 1}}
+}
+
+func encode(t testing.TB, v any) []byte {
+	t.Helper()
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestDecodeJob(t *testing.T) {
+	j, err := DecodeJob(encode(t, submission()))
+	if err != nil || j.Tasks != 16 || *j.Deadline != 900 || j.Types[0] != "g8" {
+		t.Fatalf("%+v, %v", j, err)
+	}
+	bad := map[string]any{"uid": "job-1", "stitches": 0, "cores": -1.0, "mem_gb": math.NaN(), "expect_s": math.Inf(1),
+		"weave": "heap", "rank": "top", "together": 1, "looms": "g8", "skein": nil, "knot_s": "x", "due_s": -5.0, "bolt": 4}
+	for field, v := range bad {
+		m := submission()
+		m[field] = v
+		if _, err := DecodeJob(encode(t, m)); err == nil || !strings.HasPrefix(err.Error(), field+":") {
+			t.Errorf("%s=%v: %v", field, v, err)
+		}
+	}
+	for _, field := range []string{"uid", "skein", "crew", "weave", "rank", "stitches", "cores", "accelerators", "mem_gb",
+		"pattern", "pull_gb", "together", "apart", "remnant", "expect_s", "knot_s", "tie_s"} {
+		m := submission()
+		delete(m, field)
+		if _, err := DecodeJob(encode(t, m)); err == nil {
+			t.Errorf("%s missing: accepted", field)
+		}
+	}
+	m := submission()
+	m["stitches"] = MaxTasks + 1
+	if _, err := DecodeJob(encode(t, m)); err == nil {
+		t.Error("too many tasks accepted")
+	}
+}
+
+func TestCheckRefuses(t *testing.T) {
+	good := encode(t, submission())
+	for name, body := range map[string][]byte{
+		"empty":           {},
+		"cut off":         good[:len(good)-1],
+		"trailing":        append(bytes.Clone(good), 0),
+		"huge map":        {0xdf, 0xff, 0xff, 0xff, 0xff},
+		"huge array":      {0xdd, 0xff, 0xff, 0xff, 0xff},
+		"huge text":       {0xdb, 0xff, 0xff, 0xff, 0xff, 'a'},
+		"deep":            append(bytes.Repeat([]byte{0x91}, 60_000), 0xc0),
+		"binary":          {0xc4, 1, 0},
+		"reserved":        {0xc1},
+		"map without key": {0x81},
+	} {
+		if Check(body) == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	if err := Decode([]byte{0x91, 0xc0}, &Report{}); err != ErrNotMap {
+		t.Errorf("a list: %v", err)
+	}
+}
+
+func FuzzDecodeJob(f *testing.F) {
+	f.Add(encode(f, submission()))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		j, err := DecodeJob(body)
+		if err != nil {
+			return
+		}
+		again, err := DecodeJob(Encode(j))
+		if err != nil || again.ID != j.ID || again.Tasks != j.Tasks {
+			t.Fatalf("%+v does not survive: %v", j, err)
+		}
+	})
+}
+
+func FuzzDecodeReport(f *testing.F) {
+	f.Add(Encode(&Report{Machine: "m-1", Type: "t", Session: 1, Tasks: []TaskReport{{Task: "req-000001/0"}}}))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if r, err := DecodeReport(body); err == nil && r.Machine == "" {
+			t.Fatal("a report of nobody")
+		}
+	})
+}
