Chaos scenarios; a term given up is never led again

Cause: a leader that resigned read its own key before the lease was revoked and took the same term again, which would have handed out attempt numbers and rental names twice. Conclusion: an incarnation only adopts a key of a term higher than any it led.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -140,6 +140,10 @@
 				return
 			}
 			e.run(0, term.Term, termVersion)
+		case rec.Node == e.self.Node && rec.Incarnation == e.self.Incarnation && rec.Term <= e.term:
+			// The key of a term that this process has given up: leading it again
+			// would hand out its attempt numbers and rental names twice.
+			e.retry(pause)
 		case rec.Node == e.self.Node && rec.Incarnation == e.self.Incarnation:
 			// An election of ours whose answer was lost. The lease must be
 			// renewed before its deadline is known.
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -303,12 +304,108 @@
 		return func() { s.worker(a).Notify(span("in", 8)) }
 	case "take":
 		return func() { w.Cloud.remove(s.worker(a).id) }
+	case "chaos":
+		return func() { s.chaos(uint64(a.num("seed", 1)), span("from", 20), span("to", 200), span("every", 8)) }
 	case "expect":
 		return s.expectation(a)
 	}
 	return nil
 }
 
+// chaos submits jobs and brings random troubles over them. In the end every
+// job that nobody cancelled must be done.
+func (s *script) chaos(seed uint64, from, to, every Micros) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	w := s.w
+	jobs := 0
+	line := func(t Micros, format string, args ...any) {
+		fields := strings.Fields(fmt.Sprintf(format, args...))
+		do := s.verb(fields[0], parseArgs(fields[1:]))
+		w.At(t, func() {
+			defer func() {
+				if r := recover(); r != nil {
+					if _, ok := r.(string); !ok { // no leader or machine to trouble just now
+						panic(r)
+					}
+				}
+			}()
+			do()
+		})
+	}
+	submit := func(t Micros) {
+		jobs++
+		id := fmt.Sprintf("req-%06d", jobs)
+		switch rng.IntN(4) {
+		case 0:
+			line(t, "submit %s service tasks=%d cpus=1 spread priority=production", id, 1+rng.IntN(2))
+			line(to+60*sec, "cancel %s", id)
+		case 1:
+			line(t, "submit %s gang tasks=%d run=%d cpus=2", id, 2+rng.IntN(3), 10+rng.IntN(20))
+			s.expect = append(s.expect, s.over(id))
+		default:
+			line(t, "submit %s array tasks=%d run=%d checkpoint=%d save=2 priority=low cpus=%d", id,
+				1+rng.IntN(8), 5+rng.IntN(40), rng.IntN(2)*8, 1+rng.IntN(3))
+			s.expect = append(s.expect, s.over(id))
+		}
+		if rng.IntN(6) == 0 {
+			line(t+Micros(rng.IntN(30))*sec, "cancel %s", id)
+		}
+		if rng.IntN(4) == 0 {
+			line(t+Micros(10+rng.IntN(200))*sec, "resubmit %s", id)
+		}
+	}
+	for range 4 {
+		submit(sec)
+	}
+	mode := func() string { return []string{"hold", "drop"}[rng.IntN(2)] }
+	for t := from; t < to; t += every/2 + Micros(rng.Int64N(int64(every))) {
+		submit(t)
+		victim := fmt.Sprintf("of=req-%06d", 1+rng.IntN(jobs))
+		span := 2 + rng.IntN(20)
+		switch rng.IntN(14) {
+		case 0:
+			line(t, "kill leader for=%d", span)
+		case 1:
+			line(t, "kill all for=%d", 1+rng.IntN(8))
+		case 2:
+			line(t, "cut leader state %s for=%d", mode(), span)
+		case 3:
+			line(t, "cut leader workers peers users %s for=%d", mode(), span)
+		case 4:
+			line(t, "cut leader state peers %s for=%d", mode(), span)
+		case 5, 6:
+			line(t, "isolate %s %s for=%d", victim, mode(), span)
+		case 7:
+			line(t, "hang %s for=%d", victim, span)
+		case 8:
+			line(t, "refuse leader for=%d", span)
+		case 9:
+			line(t, "outage state for=%d", span)
+		case 10:
+			line(t, "outage cloud for=%d", span)
+		case 11:
+			line(t, "late-txn leader by=%d", span)
+			line(t+2*sec, "kill leader for=4")
+		case 12:
+			line(t, "late-rent by=%d", span)
+			line(t, "lost-answer leader")
+		case 13:
+			line(t, "take %s", victim)
+		}
+	}
+}
+
+// over expects a job to be done or, if its user wished so, cancelled.
+func (s *script) over(id string) func() error {
+	return func() error {
+		u := s.w.Users[id]
+		if u == nil || u.Last != wire.PhaseDone && (u.Last != wire.PhaseCancelled || !s.w.Rules.jobs[id].askCancel) {
+			return fmt.Errorf("%s is not over", id)
+		}
+		return nil
+	}
+}
+
 func (s *script) job(a args) *wire.Job {
 	kinds := map[string]string{"array": wire.KindArray, "gang": wire.KindGang, "service": wire.KindService}
 	priorities := map[string]string{"low": "best_effort", "normal": "normal", "high": "urgent", "production": "prod"}
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -273,6 +273,11 @@
 	if t.job.Kind != wire.KindService {
 		run := Micros(t.job.Estimate * 1e6) // the stand-in's owners estimate well
 		x.later(t, run, func() {
+			if t.job.Kind == wire.KindGang { // when one is done, all are
+				for i := range t.job.Tasks {
+					x.w.Rules.Completed(wire.TaskID(t.job.ID, i))
+				}
+			}
 			x.w.Rules.Completed(t.task)
 			x.exit(t, wire.CauseDone, false)
 		})
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -273,8 +273,10 @@
 	u.submit()
 }
 
-func (u *User) ask(f func(c *controller.Core, reply func(controller.Answer)), done func(controller.Answer)) {
+func (u *User) ask(f func(c *controller.Core, reply func(controller.Answer)), judge func(facts, controller.Answer)) {
 	w := u.w
+	known := w.Rules.Asking(u.job.ID)
+	done := func(a controller.Answer) { judge(known, a) }
 	var up []*Node
 	for _, n := range w.Nodes {
 		if n.Up() && n.core.Ready() {
@@ -296,9 +298,9 @@
 
 func (u *User) submit() {
 	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) },
-		func(a controller.Answer) {
+		func(f facts, a controller.Answer) {
 			u.code = a.Code
-			u.w.Rules.Submitted(u.job.ID, a)
+			u.w.Rules.Submitted(u.job.ID, f, a)
 			switch a.Code {
 			case 200, 201:
 				u.Last = a.Status.Phase
@@ -320,8 +322,8 @@
 // Poll asks once for the job's state.
 func (u *User) Poll(then func()) {
 	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Status(u.job.ID, reply) },
-		func(a controller.Answer) {
-			u.w.Rules.Polled(u.job.ID, a)
+		func(f facts, a controller.Answer) {
+			u.w.Rules.Polled(u.job.ID, f, a)
 			if a.Code == 200 {
 				u.Last = a.Status.Phase
 			}
@@ -335,8 +337,8 @@
 func (u *User) Cancel() {
 	u.w.Rules.AskedCancel(u.job.ID)
 	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Cancel(u.job.ID, reply) },
-		func(a controller.Answer) {
-			u.w.Rules.Polled(u.job.ID, a)
+		func(f facts, a controller.Answer) {
+			u.w.Rules.Polled(u.job.ID, f, a)
 			if a.Code != 200 {
 				u.w.After(sec, u.Cancel)
 				return
