--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -66,16 +66,23 @@
 // pass is the working state of one Plan call.
 type pass struct {
 	*Input
-	out  Output
-	room map[*Machine]Need
+	out     Output
+	room    map[*Machine]Need
+	service map[*Machine]float64 // share of the CPUs that services hold
 }
 
 // Plan runs one scheduling cycle.
 func Plan(in *Input) Output {
-	p := &pass{Input: in, room: make(map[*Machine]Need, len(in.Machines))}
+	p := &pass{Input: in, room: make(map[*Machine]Need, len(in.Machines)), service: map[*Machine]float64{}}
 	for _, m := range in.Machines {
-		if m.Usable(in.Now, in.Fresh) {
-			p.room[m] = m.Room()
+		if !m.Usable(in.Now, in.Fresh) {
+			continue
+		}
+		p.room[m] = m.Room()
+		for _, pl := range m.Places {
+			if pl.Job != nil && pl.Job.Service() && !pl.Exited {
+				p.service[m] += pl.Need.CPUs / m.Type.CPUs
+			}
 		}
 	}
 	Order(in.Jobs, in.Teams)
@@ -98,11 +105,7 @@
 		if !team.Allows(j.Need()) {
 			return // the limit, not room, holds it back: no machine is bought for it
 		}
-		m := p.choose(j, p.zones(j))
-		var victims []*Placement
-		if m == nil && j.Priority == wire.PriorityProduction {
-			m, victims = p.preempt(j, p.zones(j))
-		}
+		m, victims := p.choose(j, p.zones(j))
 		if m == nil {
 			break
 		}
@@ -181,64 +184,80 @@
 	return j.Spec.ImageGB / p.Rates[m.Type.Name] * float64(1+len(others))
 }
 
-// choose picks the machine with room and the least expected delay. Ties go to
-// spot machines for jobs that may use them, then to the fullest machine, so
-// that others empty and can be returned.
-func (p *pass) choose(j *Job, held map[string]int) *Machine {
-	var best *Machine
-	bestCost := math.Inf(1)
-	need := j.Need()
-	for _, m := range p.Machines {
-		room, ok := p.room[m]
-		if !ok || !need.Fits(room) || !p.allowed(j, m, held) {
-			continue
-		}
-		cost := p.delay(j, m) + (room.CPUs-need.CPUs)/m.Type.CPUs
-		if j.Spec.Spot && !m.Spot {
-			cost += 2
-		}
-		if m.Errors > 0 {
-			cost += 60
-		}
-		if cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
-	return best
-}
-
-// preempt looks for the machine where stopping tasks of lower priority at once
-// makes room at the least loss.
-func (p *pass) preempt(j *Job, held map[string]int) (*Machine, []*Placement) {
+// choose picks the machine where a task of j starts at the least cost, in
+// seconds of expected delay and what is as bad as a second of it. For a
+// production job, tasks of lower priority may be stopped at once to make room.
+func (p *pass) choose(j *Job, held map[string]int) (*Machine, []*Placement) {
 	var best *Machine
 	var bestVictims []*Placement
 	bestCost := math.Inf(1)
 	need := j.Need()
 	for _, m := range p.Machines {
 		room, ok := p.room[m]
-		if !ok || m.Errors > 0 || !p.allowed(j, m, held) {
+		if !ok || !p.allowed(j, m, held) {
 			continue
 		}
+		cost := p.delay(j, m) + p.packing(j, m, room)
 		var victims []*Placement
-		lost := 0.0
-		for _, v := range p.victims(m, j.Priority) {
-			if need.Fits(room) {
-				break
-			}
-			room = room.Add(v.Need)
-			victims = append(victims, v)
-			lost += p.loss(v)
-		}
 		if !need.Fits(room) {
-			continue
+			if j.Priority != wire.PriorityProduction || m.Errors > 0 {
+				continue
+			}
+			var lost float64
+			if victims, lost = p.enough(m, j.Priority, need, room); victims == nil {
+				continue
+			}
+			cost += lost / lossPerSecond
 		}
-		if cost := p.delay(j, m) + lost/20; cost < bestCost {
+		if cost < bestCost {
 			best, bestVictims, bestCost = m, victims, cost
 		}
 	}
 	return best, bestVictims
 }
 
+// lossPerSecond is how many CPU-seconds of lost work weigh as much as a second
+// of delay.
+const lossPerSecond = 20
+
+// packing is what it costs the fleet, beyond the delay, to use m for j.
+// Services gather on few machines. Other work first fills the room beside
+// them, which is paid for anyway, then spot machines, then ordinary ones, the
+// fullest first: so machines empty and can be returned.
+func (p *pass) packing(j *Job, m *Machine, room Need) float64 {
+	cost := 0.0
+	switch share := p.service[m]; {
+	case j.Service():
+		cost = 2 * (1 - share)
+	case share > 0 && !m.Spot:
+		cost = room.CPUs / m.Type.CPUs
+	case m.Spot || !j.Spec.Spot:
+		cost = 1 + room.CPUs/m.Type.CPUs
+	default:
+		cost = 3 + room.CPUs/m.Type.CPUs
+	}
+	if m.Errors > 0 {
+		cost += 60
+	}
+	return cost
+}
+
+// enough lists the least harmful tasks on m whose end makes room for need; nil
+// if there are none. The second result is the work lost, in CPU-seconds.
+func (p *pass) enough(m *Machine, priority int, need, room Need) ([]*Placement, float64) {
+	var victims []*Placement
+	lost := 0.0
+	for _, v := range p.victims(m, priority) {
+		room = room.Add(v.Need)
+		victims = append(victims, v)
+		lost += p.loss(v)
+		if need.Fits(room) {
+			return victims, lost
+		}
+	}
+	return nil, 0
+}
+
 // victims lists what may be stopped on m for the given priority: lowest
 // priority first, then the least loss.
 func (p *pass) victims(m *Machine, priority int) []*Placement {
@@ -320,6 +339,9 @@
 	}
 	Attach(pl, p.Teams)
 	p.room[m] = p.room[m].Sub(pl.Need)
+	if j.Service() {
+		p.service[m] += pl.Need.CPUs / m.Type.CPUs
+	}
 	p.out.Launch = append(p.out.Launch, pl)
 }
 
@@ -406,8 +428,8 @@
 	held := map[string]int{}
 	var picks []*Machine
 	for range n {
-		m := p.choose(j, held)
-		if m == nil {
+		m, victims := p.choose(j, held)
+		if m == nil || victims != nil { // a gang waits for room instead
 			return nil
 		}
 		held[m.Zone]++
