--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,7 @@
 	kind Kind
 	typ  *wire.MachineType
 	room sched.Need
+	at   sched.Micros // when it should be up
 }
 
 type buyer struct {
@@ -56,12 +57,23 @@
 	bins   []*bin
 	frees  []free
 	bought map[Kind]int
+	looked int
 }
 
+// free is room that a task's end will free.
 type free struct {
 	at   sched.Micros
 	cpus float64
-	m    *sched.Machine
+	kind Kind
+	typ  *wire.MachineType
+}
+
+// release enters room that gets free at the given time.
+func (b *buyer) release(f free) {
+	i, _ := slices.BinarySearchFunc(b.frees, f, func(x, y free) int {
+		return cmp.Or(cmp.Compare(x.at, y.at), -1) // after its equals
+	})
+	b.frees = slices.Insert(b.frees, i, f)
 }
 
 // Plan decides what to rent now. Demand first goes to machines on their way,
@@ -69,9 +81,15 @@
 // machines.
 func Plan(in *Input) []Buy {
 	b := &buyer{Input: in, bought: map[Kind]int{}}
+	type end struct {
+		task string
+		free
+	}
+	var ends []end
 	for _, m := range in.Machines {
 		if !m.Up && !m.Releasing && !m.Failed {
-			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Room()})
+			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Room(),
+				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot))})
 		}
 		if m.Releasing || m.Draining || m.Notice != 0 || m.Errors > 0 {
 			continue
@@ -84,16 +102,20 @@
 			if start == 0 {
 				start = in.Now
 			}
-			b.frees = append(b.frees, free{max(in.Now, start+p.Job.Estimate), p.Need.CPUs, m})
+			left := p.Job.Estimate - p.Job.Tasks[p.Index].Progress
+			ends = append(ends, end{p.Task, free{max(in.Now, start+left), p.Need.CPUs, Kind{m.Type.Name, m.Zone, m.Spot}, m.Type}})
 		}
 	}
-	slices.SortFunc(b.frees, func(x, y free) int {
-		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.m.ID, y.m.ID))
+	slices.SortFunc(ends, func(x, y end) int {
+		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.task, y.task))
 	})
+	for _, e := range ends {
+		b.frees = append(b.frees, e.free)
+	}
 	for _, r := range in.Ordered {
 		if t := b.typ(r.Kind.Type); t != nil {
 			for range r.Count {
-				b.bins = append(b.bins, newBin(r.Kind, t))
+				b.bins = append(b.bins, b.newBin(r.Kind, t))
 			}
 		}
 	}
@@ -119,8 +141,11 @@
 	return 0
 }
 
-func newBin(k Kind, t *wire.MachineType) *bin {
-	return &bin{k, t, sched.Need{CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}}
+// minBoot is the least that a machine on its way is expected to take yet.
+const minBoot = 2 * clock.Second
+
+func (b *buyer) newBin(k Kind, t *wire.MachineType) *bin {
+	return &bin{k, t, sched.Need{CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}, b.Now + clock.FromSeconds(t.Boot)}
 }
 
 func (b *buyer) typ(name string) *wire.MachineType {
@@ -141,68 +166,74 @@
 			held[p.Machine.Zone]++
 		}
 	}
-	for left := u.Count; left > 0; left-- {
+	for left := u.Count; left > 0 && b.looked < maxLooked; left-- {
+		b.looked++
 		if b.fromBins(j, need, held) {
 			continue
 		}
 		wait := clock.Forever
-		at := -1
 		if j.Array() {
-			at, wait = b.nextFree(j, need.CPUs)
+			wait = b.nextFree(j, need.CPUs) - b.Now
 		}
 		kind, ok := b.pick(j, need, left, held, wait)
-		if !ok {
-			if at >= 0 {
-				b.consume(at, need.CPUs)
-				continue
-			}
+		switch {
+		case ok:
+			b.bought[kind]++
+			b.bins = append(b.bins, b.newBin(kind, b.typ(kind.Type)))
+			b.fromBins(j, need, held)
+		case wait < clock.Forever/2:
+			b.consume(j, need.CPUs)
+		default:
 			return
 		}
-		b.bought[kind]++
-		nb := newBin(kind, b.typ(kind.Type))
-		nb.room = nb.room.Sub(need)
-		held[kind.Zone]++
-		b.bins = append(b.bins, nb)
 	}
 }
 
+// maxLooked bounds the tasks that one pass looks at; what lies behind them
+// will be looked at when they are placed.
+const maxLooked = 400
+
 func (b *buyer) fromBins(j *sched.Job, need sched.Need, held map[string]int) bool {
 	for _, x := range b.bins {
 		if need.Fits(x.room) && j.Allows(x.typ, x.kind.Zone, x.kind.Spot) && sched.ZoneAllows(j, held, x.kind.Zone) {
 			x.room = x.room.Sub(need)
 			held[x.kind.Zone]++
+			if j.Array() {
+				b.release(free{x.at + j.Estimate, need.CPUs, x.kind, x.typ})
+			}
 			return true
 		}
 	}
 	return false
 }
 
-// nextFree finds when running tasks will have freed enough for one more task
-// of j: the index of the first release on an allowed machine and the wait.
-func (b *buyer) nextFree(j *sched.Job, cpus float64) (int, sched.Micros) {
-	got := 0.0
-	first := -1
-	for i, f := range b.frees {
-		if f.cpus <= 0 || !j.Allows(f.m.Type, f.m.Zone, f.m.Spot) {
-			continue
-		}
-		if first < 0 {
-			first = i
-		}
-		if got += f.cpus; got >= cpus {
-			return first, f.at - b.Now
+// nextFree finds when tasks that run, or will run, have freed enough for one
+// more task of j.
+func (b *buyer) nextFree(j *sched.Job, cpus float64) sched.Micros {
+	for _, f := range b.frees {
+		if f.cpus > 0 && j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
+			if cpus -= f.cpus; cpus <= 1e-6 {
+				return f.at
+			}
 		}
 	}
-	return -1, clock.Forever
+	return clock.Forever
 }
 
-// consume takes CPUs from the releases beginning at index i and gives them
-// back when the task that took them would end.
-func (b *buyer) consume(i int, cpus float64) {
-	for ; i < len(b.frees) && cpus > 0; i++ {
-		take := min(cpus, b.frees[i].cpus)
-		b.frees[i].cpus -= take
-		cpus -= take
+// consume gives the next free room to a task of j, until that ends.
+func (b *buyer) consume(j *sched.Job, cpus float64) {
+	need := cpus
+	for i := range b.frees {
+		f := &b.frees[i]
+		if f.cpus <= 0 || !j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
+			continue
+		}
+		take := min(cpus, f.cpus)
+		f.cpus -= take
+		if cpus -= take; cpus <= 1e-6 {
+			b.release(free{f.at + j.Estimate, need, f.kind, f.typ})
+			return
+		}
 	}
 }
 
