--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math"
@@ -367,6 +369,41 @@
 			again(0, l.Machines[len(l.Machines)-1].ID)
 			return
 		}
+		c.logFleet()
 		again(5*clock.Second, "")
 	})
 }
+
+// logFleet says at debug level how well the fleet is used, in CPUs.
+func (c *Core) logFleet() {
+	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	type sum struct{ booting, up, services, other, fetching float64 }
+	sums := map[bool]*sum{true: {}, false: {}}
+	for _, m := range c.order {
+		s := sums[m.Spot]
+		if !m.Up {
+			s.booting += m.Type.CPUs
+			continue
+		}
+		s.up += m.Type.CPUs
+		for _, p := range m.Places {
+			switch {
+			case p.Exited:
+			case p.Running == 0:
+				s.fetching += p.Need.CPUs
+			case p.Job != nil && p.Job.Service():
+				s.services += p.Need.CPUs
+			default:
+				s.other += p.Need.CPUs
+			}
+		}
+	}
+	waiting := 0
+	for _, u := range c.unplaced {
+		waiting += u.Count
+	}
+	slog.Debug("fleet", "ordinary", fmt.Sprintf("%+v", *sums[false]), "spot", fmt.Sprintf("%+v", *sums[true]),
+		"waiting", waiting, "headroom", c.fleetInput(c.env.Now()).Headroom)
+}
