Urgency is read from the slack to deadlines and objectives

Cause: strict priority let relaxed work of higher priority pass work that was about to miss its aim.

--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -267,19 +267,20 @@
 	j := &sched.Job{
 		Spec: spec, ID: spec.ID, Priority: wire.PriorityOf(spec.Priority),
 		Submitted: min(now, Micros(rec.At)-c.env.Wall()+now),
-		Deadline:  clock.Forever, Target: clock.Forever,
-		Estimate: clock.FromSeconds(spec.Estimate),
-		Tasks:    make([]sched.Task, spec.Tasks),
-		FailedOn: map[string]bool{},
+		Deadline:  clock.Forever,
+		Estimate:  clock.FromSeconds(spec.Estimate),
+		Tasks:     make([]sched.Task, spec.Tasks),
+		FailedOn:  map[string]bool{},
 	}
 	if spec.Deadline != nil {
 		j.Deadline = j.Submitted + clock.FromSeconds(*spec.Deadline)
 	}
 	for _, o := range c.cfg.Params.Objectives {
 		if o.Kind == "finished" && o.Class == spec.Class {
-			j.Target = min(j.Target, j.Submitted+clock.FromSeconds(o.Within))
+			j.Targets = append(j.Targets, j.Submitted+clock.FromSeconds(o.Within))
 		}
 	}
+	slices.Sort(j.Targets)
 	c.jobs[j.ID] = j
 	if c.loaded {
 		c.requeue(j)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -277,7 +277,7 @@
 	if spot {
 		return wait > boot/2+b.SpotWait
 	}
-	target := min(j.Target, j.Deadline)
+	target := j.Aim(b.Now)
 	if target >= clock.Forever {
 		return wait > 4*boot
 	}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -25,10 +25,10 @@
 	Spec      *wire.Job
 	ID        string
 	Priority  int
-	Submitted Micros // on the owner's steady clock
-	Deadline  Micros // clock.Forever without one
-	Target    Micros // when its class's objective wants it done; Forever without one
-	Estimate  Micros // expected run time of a task
+	Submitted Micros   // on the owner's steady clock
+	Deadline  Micros   // clock.Forever without one
+	Targets   []Micros // when its class's objectives want it done, earliest first
+	Estimate  Micros   // expected run time of a task
 
 	Tasks     []Task
 	Queue     []int32 // pending tasks, in order of placing
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -35,9 +35,13 @@
 	Unplaced []Unplaced
 }
 
-// Order sorts jobs by the paper's levels (urgency, team, pipeline, rank)
-// beneath the protocol's priority.
-func Order(jobs []*Job, teams map[string]*Team) {
+// Order sorts jobs by the paper's levels (urgency, team, pipeline, rank).
+// Production and high priority come before everything. Among the rest, urgency
+// is read from the aims: work that would miss its aim by waiting on comes
+// first, so that a job of lower priority is not late only because one of higher
+// priority was early. Work that has missed its aim is not put last: tried, and
+// more of the rest came late too.
+func Order(jobs []*Job, teams map[string]*Team, now Micros) {
 	use := func(j *Job) float64 {
 		if t := teams[j.Spec.Team]; t != nil {
 			return t.Use
@@ -46,6 +50,7 @@
 	}
 	slices.SortStableFunc(jobs, func(a, b *Job) int {
 		return cmp.Or(
+			cmp.Compare(a.urgency(now), b.urgency(now)),
 			cmp.Compare(b.Priority, a.Priority),
 			cmp.Compare(b2i(b.Spec.Deadline != nil), b2i(a.Spec.Deadline != nil)),
 			cmp.Compare(use(a), use(b)),
@@ -56,6 +61,44 @@
 	})
 }
 
+// Levels of urgency.
+const (
+	first   = iota // production and high priority
+	pressed        // must start now to meet its aim
+	relaxed
+)
+
+func (j *Job) urgency(now Micros) int {
+	if j.Priority >= wire.PriorityHigh {
+		return first
+	}
+	aim := j.Aim(now)
+	slack := aim - now - j.Estimate
+	switch {
+	case aim == clock.Forever:
+		return relaxed
+	case slack >= 0 && slack < pressedFor+j.Estimate/2:
+		return pressed
+	}
+	return relaxed
+}
+
+// pressedFor is the least slack that counts as ample: machines boot and fetch
+// images in that order of time.
+const pressedFor = 15 * clock.Second
+
+// Aim is when the job should be done: its deadline or the earliest objective
+// of its class that it can still meet.
+func (j *Job) Aim(now Micros) Micros {
+	aim := j.Deadline
+	for _, t := range j.Targets {
+		if now+j.Estimate <= t || t == j.Targets[len(j.Targets)-1] {
+			return min(aim, t)
+		}
+	}
+	return aim
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
@@ -85,7 +128,7 @@
 			}
 		}
 	}
-	Order(in.Jobs, in.Teams)
+	Order(in.Jobs, in.Teams, in.Now)
 	for _, j := range in.Jobs {
 		if !j.Active() || len(j.Queue) == 0 || in.Now < j.HoldUntil {
 			continue
