--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -277,7 +277,10 @@
 	case m.Spot || !j.Spec.Spot:
 		cost = 1 + room.CPUs/m.Type.CPUs
 	default:
-		cost = 3 + room.CPUs/m.Type.CPUs
+		// A spot machine that must fetch first is cheaper than an ordinary one
+		// that need not, as long as the job can wait for the fetch.
+		slack := (j.Aim(p.Now) - p.Now - j.Estimate).Seconds()
+		cost = 3 + room.CPUs/m.Type.CPUs + max(0, min(slack/2, 0.4*j.Estimate.Seconds()))
 	}
 	if m.Errors > 0 {
 		cost += 60
