--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -103,6 +103,7 @@
 	planned     Micros
 	unplaced    []sched.Unplaced
 	lastReport  Micros
+	moved       Micros // when a replica was last moved
 }
 
 type peerInfo struct {
@@ -284,7 +285,7 @@
 func (c *Core) elected(term uint64) {
 	now := c.env.Now()
 	c.term, c.electedAt, c.loaded = term, now, false
-	c.lastReport = now
+	c.lastReport, c.moved = now, now
 	c.jobs = map[string]*sched.Job{}
 	c.finals = map[string]wire.JobStatus{}
 	c.finalsOrder = nil
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -146,9 +146,74 @@
 			c.toRelease = append(c.toRelease, m.ID)
 		}
 	}
+	c.consolidate(in, now)
 	c.release()
 }
 
+// consolidate empties machines that the others can do without. Replicas move
+// one at a time, to a place that is free and warm, so that at any moment hardly
+// any is away; batch work finishes where it is.
+func (c *Core) consolidate(in *fleet.Input, now Micros) {
+	waiting := len(c.unplaced) > 0
+	retiring := 0
+	for _, m := range c.order {
+		if m.Retiring && waiting {
+			m.Retiring = false
+		}
+		if m.Retiring {
+			retiring++
+		}
+	}
+	if waiting || now-c.electedAt < 2*c.cfg.WorkerLease() {
+		return
+	}
+	if retiring < maxRetiring {
+		if m := in.Retire(c.fresh()); m != nil {
+			m.Retiring = true
+			slog.Debug("retiring machine", "machine", m.ID)
+		}
+	}
+	if now-c.moved < c.pol.MoveEvery {
+		return
+	}
+	for _, m := range c.order {
+		if !m.Retiring || m.Releasing {
+			continue
+		}
+		for _, p := range places(m) {
+			if p.Job != nil && p.Job.Service() && p.Running > 0 && now-p.Running > settleFor && !p.Stopping && c.refuge(p) {
+				slog.Debug("moving replica", "task", p.Task, "from", m.ID)
+				p.Stopping, p.Grace = true, 0
+				c.moved = now
+				return
+			}
+		}
+	}
+}
+
+const (
+	maxRetiring = 2
+	settleFor   = 40 * clock.Second // a replica that just started is left alone
+)
+
+// refuge reports whether a machine has free room and the image for a replica.
+func (c *Core) refuge(p *sched.Placement) bool {
+	held := map[string]int{}
+	for i := range p.Job.Tasks {
+		if q := p.Job.Tasks[i].Place; q != nil && q != p {
+			held[q.Machine.Zone]++
+		}
+	}
+	for _, m := range c.order {
+		_, warm := m.Images[p.Image]
+		if warm && m.Usable(c.env.Now(), c.fresh()) && m.Errors == 0 && p.Need.Fits(m.Room()) &&
+			p.Job.Allows(m.Type, m.Zone, m.Spot) && sched.ZoneAllows(p.Job, held, m.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // wanted reports whether an idle machine is worth keeping.
 func (c *Core) wanted(in *fleet.Input, m *sched.Machine) bool {
 	for _, u := range c.unplaced {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -317,7 +317,7 @@
 func (in *Input) Spare(without *sched.Machine) float64 {
 	sum := 0.0
 	for _, m := range in.Machines {
-		if m == without || m.Spot || !m.Up || m.Releasing || m.Draining || m.Errors > 0 ||
+		if m == without || m.Spot || !m.Up || m.Releasing || m.Draining || m.Retiring || m.Errors > 0 ||
 			in.Service != nil && !in.Service.Allows(m.Type, m.Zone, false) {
 			continue
 		}
@@ -331,6 +331,42 @@
 	return sum
 }
 
+// Retire picks a machine to empty: one whose tasks would all fit into the room
+// of the others of its kind, with the headroom for services to spare. It is the
+// one that costs most for what it holds; nil if there is none.
+func (in *Input) Retire(fresh sched.Micros) *sched.Machine {
+	total := map[bool]float64{} // free CPUs, by spot
+	for _, m := range in.Machines {
+		if m.Usable(in.Now, fresh) {
+			total[m.Spot] += m.Room().CPUs
+		}
+	}
+	var best *sched.Machine
+	bestCost := 0.0
+	for _, m := range in.Machines {
+		if !m.Usable(in.Now, fresh) || !m.Busy() || m.Spot {
+			continue
+		}
+		room := m.Room().CPUs
+		used := m.Type.CPUs - room
+		services := 0.0
+		for _, p := range m.Places {
+			if p.Job != nil && p.Job.Service() {
+				services += p.Need.CPUs
+			}
+		}
+		// Batch work finishes where it is; its successors need room elsewhere.
+		if total[false]+total[true]-room < used+in.Headroom || total[false]-room < services ||
+			in.Spare(m) < services+in.Headroom {
+			continue
+		}
+		if cost := m.Type.Price / (used + 1); cost > bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	return best
+}
+
 func ratio(have, need float64) float64 {
 	if need <= 0 {
 		return math.Inf(1)
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -30,6 +30,7 @@
 	SickErrors    int
 	Refused       clock.Micros
 	SpotWait      clock.Micros
+	MoveEvery     clock.Micros
 }
 
 // Default returns the embedded policy.
@@ -76,6 +77,7 @@
 		SickErrors:    int(r.number("sick_errors", 1, 100)),
 		Refused:       r.seconds("refused_s", 1, 3600),
 		SpotWait:      r.seconds("spot_wait_s", 0, 3600),
+		MoveEvery:     r.seconds("move_every_s", 0.5, 1e6),
 	}
 	return p, r.err
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -137,6 +137,7 @@
 	AvoidTill Micros
 	IdleSince Micros
 	Draining  bool
+	Retiring  bool // takes no new tasks, so as to empty and be returned
 	Releasing bool
 	Failed    bool
 }
@@ -161,7 +162,7 @@
 
 // Usable reports whether new tasks may be placed.
 func (m *Machine) Usable(now, fresh Micros) bool {
-	return m.Up && m.Acked && !m.Draining && !m.Releasing && m.Notice == 0 && !m.Failed &&
+	return m.Up && m.Acked && !m.Draining && !m.Retiring && !m.Releasing && m.Notice == 0 && !m.Failed &&
 		now-m.Heard <= fresh && now >= m.AvoidTill
 }
 
