--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -281,11 +281,21 @@
 	if target >= clock.Forever {
 		return wait > 4*boot
 	}
-	spare := target - b.Now - j.Estimate*5/4
-	if spare < 0 { // late already: soon is still better than later
-		return wait > 2*boot
+	spare := target - b.Now - j.Estimate
+	if spare < boot+b.fetch(j, t) {
+		// Not even this machine would make it in time: what is late anyway does
+		// not pay for an ordinary machine unless it would wait very long.
+		return wait > 6*boot
 	}
-	return wait > max(spare, boot)
+	return wait > spare
+}
+
+// fetch is how long the job's image takes to arrive on a new machine.
+func (b *buyer) fetch(j *sched.Job, t *wire.MachineType) sched.Micros {
+	if r := b.Rates[t.Name]; r > 0 {
+		return clock.FromSeconds(j.Spec.ImageGB / r)
+	}
+	return 0
 }
 
 // headroom buys ordinary machines until the room that is free, on its way, or
