Judge machine types by the whole waiting demand

Cause: 31 services of one or two replicas each bought the smallest machine, dearer for a CPU than the next size.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,7 @@
 	frees  []free
 	bought map[Kind]int
 	looked int
+	left   float64 // CPUs of the demand not looked at yet
 }
 
 // free is room that a task's end will free.
@@ -119,6 +120,9 @@
 			}
 		}
 	}
+	for _, u := range in.Unplaced {
+		b.left += float64(u.Count) * u.Job.Spec.CPUs
+	}
 	for _, u := range in.Unplaced {
 		b.demand(u)
 	}
@@ -168,6 +172,7 @@
 	}
 	for left := u.Count; left > 0 && b.looked < maxLooked; left-- {
 		b.looked++
+		b.left -= need.CPUs
 		if b.fromBins(j, need, held) {
 			continue
 		}
@@ -175,7 +180,7 @@
 		if j.Array() {
 			wait = b.nextFree(j, need.CPUs) - b.Now
 		}
-		kind, ok := b.pick(j, need, left, held, wait)
+		kind, ok := b.pick(j, need, held, wait)
 		switch {
 		case ok:
 			b.bought[kind]++
@@ -237,13 +242,15 @@
 	}
 }
 
-// pick chooses a machine to rent for j's next task, if one is worth it.
-func (b *buyer) pick(j *sched.Job, need sched.Need, left int, held map[string]int, wait sched.Micros) (Kind, bool) {
+// pick chooses a machine to rent for j's next task, if one is worth it: the
+// one that costs least for each CPU that this and the waiting work behind it
+// would use.
+func (b *buyer) pick(j *sched.Job, need sched.Need, held map[string]int, wait sched.Micros) (Kind, bool) {
 	best, bestCost := Kind{}, math.Inf(1)
 	for i := range b.Catalog {
 		t := &b.Catalog[i]
 		slots := math.Floor(math.Min(ratio(t.CPUs, need.CPUs), ratio(t.MemoryGB, need.Memory)) + 1e-9)
-		slots = math.Min(slots, float64(left))
+		usable := math.Min(math.Max(slots, 1)*need.CPUs, need.CPUs+b.left)
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := Kind{t.Name, zone, spot}
@@ -257,7 +264,7 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				if cost := price / math.Max(slots, 1); cost < bestCost {
+				if cost := price / math.Max(usable, 0.01); cost < bestCost {
 					best, bestCost = k, cost
 				}
 			}
@@ -312,8 +319,8 @@
 		}
 	}
 	for have < b.Headroom {
-		left := int(math.Ceil((b.Headroom - have) / math.Max(need.CPUs, 0.1)))
-		k, ok := b.pick(b.Service, need, left, nil, clock.Forever)
+		b.left = b.Headroom - have - need.CPUs
+		k, ok := b.pick(b.Service, need, nil, clock.Forever)
 		if !ok {
 			return
 		}
