--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,6 +50,9 @@
 	typ  *wire.MachineType
 	room sched.Need
 	at   sched.Micros // when it should be up
+	// yield is the CPUs that services could take: free, or held by work that
+	// they may stop.
+	yield float64
 }
 
 type buyer struct {
@@ -90,7 +93,7 @@
 	for _, m := range in.Machines {
 		if !m.Up && !m.Releasing && !m.Failed {
 			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Room(),
-				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot))})
+				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Room().CPUs})
 		}
 		if m.Releasing || m.Draining || m.Notice != 0 || m.Errors > 0 {
 			continue
@@ -149,7 +152,7 @@
 const minBoot = 2 * clock.Second
 
 func (b *buyer) newBin(k Kind, t *wire.MachineType) *bin {
-	return &bin{k, t, sched.Need{CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}, b.Now + clock.FromSeconds(t.Boot)}
+	return &bin{k, t, sched.Need{CPUs: t.CPUs, GPUs: t.GPUs, Memory: t.MemoryGB}, b.Now + clock.FromSeconds(t.Boot), t.CPUs}
 }
 
 func (b *buyer) typ(name string) *wire.MachineType {
@@ -202,6 +205,9 @@
 	for _, x := range b.bins {
 		if need.Fits(x.room) && j.Allows(x.typ, x.kind.Zone, x.kind.Spot) && sched.ZoneAllows(j, held, x.kind.Zone) {
 			x.room = x.room.Sub(need)
+			if j.Priority == wire.PriorityProduction {
+				x.yield -= need.CPUs
+			}
 			held[x.kind.Zone]++
 			if j.Array() {
 				b.release(free{x.at + j.Estimate, need.CPUs, x.kind, x.typ})
@@ -315,7 +321,7 @@
 	need := b.Service.Need()
 	for _, x := range b.bins {
 		if !x.kind.Spot && b.Service.Allows(x.typ, x.kind.Zone, false) {
-			have += x.room.CPUs
+			have += x.yield
 		}
 	}
 	for have < b.Headroom {
