--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -113,11 +113,13 @@
 	term    uint64
 }
 
-// arrival smooths the CPUs a second that a class of services asks for.
+// arrival smooths what a class of jobs asks for: see noteArrival.
 type arrival struct {
-	rate float64
-	at   Micros
-	job  *sched.Job
+	rate  float64
+	at    Micros // of the rate
+	since Micros // first arrival
+	batch bool
+	job   *sched.Job // the latest service
 }
 
 // New makes a controller. Start must be called on the owner goroutine.
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -316,6 +316,12 @@
 	}
 	for _, class := range slices.Sorted(maps.Keys(c.arrivals)) {
 		a := c.arrivals[class]
+		if a.batch {
+			// A young rate has not seen its whole window yet.
+			seen := max(now-a.since, arrivalWindow*2/3)
+			in.Load += a.now(now) / -math.Expm1(-float64(seen)/float64(arrivalWindow))
+			continue
+		}
 		in.Headroom += a.now(now) * boot * c.pol.Headroom
 		if a.job != nil {
 			in.Service = a.job
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -67,6 +67,8 @@
 	Use      map[string]float64 `msgpack:"use"`
 	Rates    map[string]float64 `msgpack:"rates"`
 	Arrivals map[string]float64 `msgpack:"arrivals"`
+	Since    map[string]int64   `msgpack:"since"` // time of day of a class's first arrival
+	Batch    map[string]bool    `msgpack:"batch"`
 }
 
 func (c *Core) saveMachine(m *sched.Machine, done func()) {
@@ -384,7 +386,8 @@
 		}
 	}
 	for class, r := range rec.Arrivals {
-		c.arrivals[class] = &arrival{rate: r, at: at}
+		c.arrivals[class] = &arrival{rate: r, at: at, batch: rec.Batch[class],
+			since: min(at, Micros(rec.Since[class])-c.env.Wall()+now)}
 	}
 }
 
@@ -395,14 +398,15 @@
 	}
 	c.commit.put(learntKey, func() []byte {
 		rec := learntRecord{At: int64(c.env.Wall()), Use: map[string]float64{},
-			Rates: c.rates, Arrivals: map[string]float64{}}
+			Rates: c.rates, Arrivals: map[string]float64{}, Since: map[string]int64{}, Batch: map[string]bool{}}
 		now := c.env.Now()
 		for name, t := range c.teams {
 			t.Decay(now, c.pol.UseWindow)
 			rec.Use[name] = t.Use
 		}
 		for class, a := range c.arrivals {
-			rec.Arrivals[class] = a.now(now)
+			rec.Arrivals[class], rec.Batch[class] = a.now(now), a.batch
+			rec.Since[class] = int64(a.since - now + c.env.Wall())
 		}
 		return wire.Encode(&rec)
 	}, nil)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -404,19 +404,24 @@
 	}
 }
 
-// noteArrival smooths the demand of a class of services.
+// noteArrival smooths the demand of a class: the CPUs a second that services
+// ask for, or the CPUs that batch work keeps busy.
 func (c *Core) noteArrival(j *sched.Job) {
-	if !j.Service() {
-		return
-	}
 	a := c.arrivals[j.Spec.Class]
 	now := c.env.Now()
 	if a == nil {
-		a = &arrival{at: now}
+		a = &arrival{at: now, since: now}
 		c.arrivals[j.Spec.Class] = a
 	}
-	a.rate = a.now(now) + j.Spec.CPUs*float64(j.Spec.Tasks)/arrivalWindow.Seconds()
-	a.at, a.job = now, j
+	asked := j.Spec.CPUs * float64(j.Spec.Tasks)
+	if j.Service() {
+		a.job = j
+	} else {
+		a.batch = true
+		asked *= j.Estimate.Seconds()
+	}
+	a.rate = a.now(now) + asked/arrivalWindow.Seconds()
+	a.at = now
 }
 
 // arrivalWindow is the memory of the arrival rates.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,7 @@
 	Unplaced []sched.Unplaced // in queue order
 	Headroom float64          // CPUs wanted free, or freeable, for services
 	Service  *sched.Job       // the service that headroom is measured by; nil: none yet
+	Load     float64          // CPUs that arriving batch work keeps busy, smoothed
 	SpotWait sched.Micros
 	Rates    map[string]float64
 }
@@ -61,6 +62,7 @@
 	frees  []free
 	bought map[Kind]int
 	looked int
+	supply float64 // CPUs for batch work, up or on their way
 	left   float64 // CPUs of the demand not looked at yet
 }
 
@@ -95,10 +97,16 @@
 			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Room(),
 				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Room().CPUs})
 		}
+		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed {
+			b.supply += m.Type.CPUs
+		}
 		if m.Releasing || m.Draining || m.Notice != 0 || m.Errors > 0 {
 			continue
 		}
 		for _, p := range m.Places {
+			if p.Priority == wire.PriorityProduction && !p.Exited {
+				b.supply -= p.Need.CPUs
+			}
 			if p.Job == nil || p.Job.Service() || p.Exited {
 				continue
 			}
@@ -120,6 +128,7 @@
 		if t := b.typ(r.Kind.Type); t != nil {
 			for range r.Count {
 				b.bins = append(b.bins, b.newBin(r.Kind, t))
+				b.supply += t.CPUs
 			}
 		}
 	}
@@ -187,6 +196,7 @@
 		switch {
 		case ok:
 			b.bought[kind]++
+			b.supply += b.typ(kind.Type).CPUs
 			b.bins = append(b.bins, b.newBin(kind, b.typ(kind.Type)))
 			b.fromBins(j, need, held)
 		case wait < clock.Forever/2:
@@ -290,6 +300,11 @@
 	if spot {
 		return wait > boot/2+b.SpotWait
 	}
+	if b.supply < b.Load {
+		// By Little's law the queue grows until more machines are up: what is
+		// needed anyway is rented at once.
+		return wait > boot/2
+	}
 	target := j.Aim(b.Now)
 	if target >= clock.Forever {
 		return wait > 4*boot
