--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -195,6 +195,8 @@
 		return
 	}
 	p.Exited = true
+	slog.Debug("task exited", "task", p.Task, "machine", m.ID, "cause", t.Cause, "saved", t.Saved,
+		"ran", ranFor(p, now), "priority", p.Priority)
 	c.wake()
 	if t.Cause == wire.CauseDone {
 		m.Errors, m.ErrorJobs = 0, nil
@@ -222,6 +224,14 @@
 	c.leave(p)
 }
 
+// ranFor is how long a task has been seen running, in seconds.
+func ranFor(p *sched.Placement, now Micros) float64 {
+	if p.Running == 0 {
+		return 0
+	}
+	return (now - p.Running).Seconds()
+}
+
 // learnFetch smooths a type's fetch rate from the time between launch and
 // running, when only this image was on its way.
 func (c *Core) learnFetch(m *sched.Machine, p *sched.Placement, now Micros) {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -353,10 +353,11 @@
 			if n == 0 {
 				return
 			}
-			// The freed room goes to the queue's head: work that would stand
+			// Only work that can wait makes way. The freed room goes to the queue's
+			// head: work that would stand
 			// before j there must not be stopped for it, or it would start and
 			// stop for ever.
-			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 || v.Job.urgency(p.Now) < j.urgency(p.Now) {
+			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 || v.Job.urgency(p.Now) <= j.urgency(p.Now) {
 				continue
 			}
 			p.stop(v, v.Job.Spec.Save+1)
