--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -261,7 +261,7 @@
 
 // lossPerSecond is how many CPU-seconds of lost work weigh as much as a second
 // of delay.
-const lossPerSecond = 20
+const lossPerSecond = 8
 
 // packing is what it costs the fleet, beyond the delay, to use m for j.
 // Services gather on few machines. Other work first fills the room beside
@@ -354,9 +354,8 @@
 				return
 			}
 			// Only work that can wait makes way. The freed room goes to the queue's
-			// head: work that would stand
-			// before j there must not be stopped for it, or it would start and
-			// stop for ever.
+			// head: work that would stand before j there must not be stopped for
+			// it, or it would start and stop for ever.
 			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 || v.Job.urgency(p.Now) <= j.urgency(p.Now) {
 				continue
 			}
