--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,71 @@
+package sched
+
+import (
+	"testing"
+
+	"lilacthread/internal/clock"
+	"lilacthread/wire"
+)
+
+func job(id string, priority int, submitted, estimate, target Micros) *Job {
+	j := &Job{ID: id, Priority: priority, Submitted: submitted * clock.Second, Estimate: estimate * clock.Second,
+		Deadline: clock.Forever, Spec: &wire.Job{ID: id, Kind: wire.KindArray, Team: "t"}}
+	if target > 0 {
+		j.Targets = []Micros{target * clock.Second}
+	}
+	return j
+}
+
+// TestOrder covers each level: priority above, urgency from slack, team use,
+// start, rank.
+func TestOrder(t *testing.T) {
+	prod := job("prod", wire.PriorityProduction, 9, 0, 0)
+	pressed := job("pressed", wire.PriorityLow, 8, 50, 70) // 20 s of slack
+	normal := job("normal", wire.PriorityNormal, 5, 50, 500)
+	older := job("older", wire.PriorityLow, 1, 10, 500)
+	longer := job("longer", wire.PriorityLow, 2, 90, 500)
+	shorter := job("shorter", wire.PriorityLow, 2, 10, 500)
+	frugal := job("frugal", wire.PriorityLow, 7, 10, 500)
+	frugal.Spec.Team = "u"
+	jobs := []*Job{shorter, longer, older, frugal, normal, pressed, prod}
+	Order(jobs, map[string]*Team{"t": {Use: 5}, "u": {Use: 1}}, 0)
+	want := []*Job{prod, pressed, normal, frugal, older, longer, shorter}
+	for i := range want {
+		if jobs[i] != want[i] {
+			t.Fatalf("place %d: %s, want %s", i, jobs[i].ID, want[i].ID)
+		}
+	}
+}
+
+func TestSmooth(t *testing.T) {
+	if got := Smooth(0.3, 100, 200); got != 170 {
+		t.Errorf("%d", got)
+	}
+}
+
+// TestMakeRoomSparesPressedWork guards against work that starts and stops for
+// ever: found on incident inc-bfbf, where relaxed work of higher priority asked
+// pressed work to leave, whose place the queue gave straight back to it.
+func TestMakeRoomSparesPressedWork(t *testing.T) {
+	typ := &wire.MachineType{Name: "m", CPUs: 4, MemoryGB: 8}
+	for _, c := range []struct {
+		target Micros
+		stops  int
+	}{{1000, 1}, {100, 0}} {
+		m := &Machine{ID: "m-1", Type: typ, Zone: "a", Up: true, Acked: true,
+			Places: map[string]*Placement{}, Images: map[string]Micros{}, Sizes: map[string]float64{}}
+		low := job("low", wire.PriorityLow, 0, 60, c.target)
+		low.Spec.Tasks, low.Spec.Checkpoint, low.Spec.Save = 1, 10, 2
+		low.Tasks = make([]Task, 1)
+		teams := map[string]*Team{"t": {}}
+		Attach(&Placement{Job: low, Task: "low/0", Machine: m, Need: Need{CPUs: 4, Memory: 4}, Team: "t", Running: 1}, teams)
+		waiting := job("normal", wire.PriorityNormal, 0, 60, 95) // pressed by 35 s of slack
+		waiting.Spec.CPUs, waiting.Spec.MemoryGB, waiting.Spec.Tasks = 4, 4, 1
+		waiting.Tasks, waiting.Queue = make([]Task, 1), []int32{0}
+		out := Plan(&Input{Now: 1, Fresh: clock.Second, Jobs: []*Job{low, waiting}, Machines: []*Machine{m},
+			Teams: teams, Rates: map[string]float64{"m": 1}, MaxTasks: 10, Attempt: func() uint64 { return 1 }})
+		if len(out.Stop) != c.stops || len(out.Launch) != 0 {
+			t.Errorf("target %d: %d stops, %d launches", c.target, len(out.Stop), len(out.Launch))
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/config"
+	"lilacthread/internal/controller"
+	"lilacthread/internal/peer"
+	"lilacthread/internal/policy"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// cutOff is the world of a node that reaches nobody.
+type cutOff struct{}
+
+func (cutOff) Now() clock.Micros                                               { return 0 }
+func (cutOff) Wall() clock.Micros                                              { return 0 }
+func (cutOff) After(clock.Micros, func())                                      {}
+func (cutOff) Ask(_ string, _ *peer.Msg, _ clock.Micros, done func(*peer.Msg)) { done(nil) }
+func (cutOff) State() store.Service                                            { return noState{} }
+func (cutOff) Cloud() controller.Cloud                                         { return noCloud{} }
+
+type noState struct{}
+
+func (noState) List(_, _ string, _ int, done func(store.Outcome, *wire.ItemList)) {
+	done(store.Refused, &wire.ItemList{})
+}
+func (noState) Get(_ string, done func(store.Outcome, *wire.Item)) { done(store.Refused, &wire.Item{}) }
+func (noState) Txn(_ *wire.Txn, done func(store.Outcome, *wire.TxnAnswer)) {
+	done(store.Refused, &wire.TxnAnswer{})
+}
+func (noState) Grant(_ int64, done func(store.Outcome, uint64)) { done(store.Refused, 0) }
+func (noState) Renew(_ uint64, done func(store.Outcome))        { done(store.Refused) }
+func (noState) Revoke(_ uint64, done func(store.Outcome))       { done(store.Refused) }
+func (noState) Watch(string, uint64, int64, func(store.Outcome, *wire.WatchAnswer)) {
+}
+
+type noCloud struct{}
+
+func (noCloud) Catalog(done func(store.Outcome, *wire.Catalog)) { done(store.Refused, nil) }
+func (noCloud) Rent(_ *wire.RentRequest, done func(store.Outcome, []string)) {
+	done(store.Refused, nil)
+}
+func (noCloud) Release(_ []string, done func(store.Outcome)) { done(store.Refused) }
+func (noCloud) List(_ string, _ int, done func(store.Outcome, *wire.MachineList)) {
+	done(store.Refused, nil)
+}
+
+type owner struct {
+	mu   sync.Mutex
+	core *controller.Core
+}
+
+func (o *owner) Post(f func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f()
+}
+
+func (o *owner) Core() *controller.Core { return o.core }
+
+func TestEdge(t *testing.T) {
+	cfg := &config.Config{Name: "n0"}
+	cfg.Params.State.RPS, cfg.Params.State.WriteRPS, cfg.Params.Cloud.RPS = 100, 100, 1
+	o := &owner{core: controller.New(cutOff{}, cfg, policy.Default(), 1)}
+	o.Post(o.core.Start)
+	srv := httptest.NewServer(New(o, 100))
+	defer srv.Close()
+	job := string(wire.Encode(&wire.Job{ID: "req-000001", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal",
+		Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i"}))
+	cases := []struct {
+		method, path, body string
+		status             int
+		retry              bool
+	}{
+		{"GET", "/", "", 404, false},
+		{"GET", "/v2/run", "", 404, false},
+		{"GET", "/v2/runs", "", 405, false},
+		{"DELETE", "/v2/runs/req-000001", "", 405, false},
+		{"GET", "/v2/runs/req-000001/cancel", "", 405, false},
+		{"GET", "/v2/runs/nobody", "", 404, false},
+		{"GET", "/checkin", "", 405, false},
+		{"POST", "/ready", "", 405, false},
+		{"GET", "/ready", "", 503, false},
+		{"POST", "/v2/runs", "", 400, false},
+		{"POST", "/v2/runs", "{}", 400, false},
+		{"POST", "/v2/runs", job + "x", 400, false},
+		{"POST", "/v2/runs", strings.Repeat("\x91", 60_000), 400, false},
+		{"POST", "/v2/runs", job + strings.Repeat("x", wire.MaxBody), 400, false},
+		{"POST", "/checkin", "\x80", 400, false},
+		{"POST", "/checkin", "\xdf\xff\xff\xff\xff", 400, false},
+		// Nothing can be known or done here: told at once, with when to come back.
+		{"POST", "/v2/runs", job, 503, true},
+		{"GET", "/v2/runs/req-000001", "", 503, true},
+		{"POST", "/v2/runs/req-000001/cancel", "", 503, true},
+		{"POST", "/checkin", string(wire.Encode(&wire.Report{Machine: "m-1", Type: "t", Session: 1})), 503, false},
+	}
+	for _, c := range cases {
+		req, err := http.NewRequest(c.method, srv.URL+c.path, bytes.NewReader([]byte(c.body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatalf("%s %s: %v", c.method, c.path, err)
+		}
+		body, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		if res.StatusCode != c.status || (res.Header.Get("Retry-After") != "") != c.retry {
+			t.Errorf("%s %s (%d bytes): %d, Retry-After %q, want %d", c.method, c.path, len(c.body),
+				res.StatusCode, res.Header.Get("Retry-After"), c.status)
+		}
+		if wire.Check(body) != nil {
+			t.Errorf("%s %s: the answer is not MessagePack: %q", c.method, c.path, body)
+		}
+	}
+}
