Keep idle machines for 10 s instead of 20 s

Cause: with work no longer stopped and started again, machines idle for longer before they are needed.

--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -12,7 +12,7 @@
 margin_s = 0.5            # added to every lease bound, beyond clock drift
 
 # Machines.
-idle_s = 20.0             # an idle machine is kept this long
+idle_s = 10.0             # an idle machine is kept this long
 boot_factor = 3.0         # times the listed boot time before a boot is given up
 silent_reports = 4.0      # missed reports before a silent machine is returned
 headroom = 1.0            # times the services expected during one boot
