Users are shed before workers when sockets run short

Before: past the socket limit every new connection was closed alike, workers' too. Now users get 503 with Retry-After from 80% of the limit on.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -63,9 +63,19 @@
 
 const jobs = "/v2/runs"
 
+// userShare is the percentage of the sockets up to which users are served; the
+// rest is left to workers and health checks.
+const userShare = 80
+
 // ServeHTTP routes by hand: the paths are few, and job ids need no decoding.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.Path
+	if s.open.Load() > s.limit*userShare/100 && strings.HasPrefix(path, jobs) {
+		// Sockets run short: users are shed first, workers last.
+		w.Header().Set("Connection", "close")
+		answer(w, controller.Answer{}, false)
+		return
+	}
 	switch {
 	case path == "/checkin":
 		if method(w, r, http.MethodPost) {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -67,12 +67,41 @@
 
 func (o *owner) Core() *controller.Core { return o.core }
 
-func TestEdge(t *testing.T) {
+func newOwner() *owner {
 	cfg := &config.Config{Name: "n0"}
 	cfg.Params.State.RPS, cfg.Params.State.WriteRPS, cfg.Params.Cloud.RPS = 100, 100, 1
 	o := &owner{core: controller.New(cutOff{}, cfg, policy.Default(), 1)}
 	o.Post(o.core.Start)
-	srv := httptest.NewServer(New(o, 100))
+	return o
+}
+
+// TestShedsUsersFirst shows that with few sockets left users are turned away
+// at once while workers still reach the owner.
+func TestShedsUsersFirst(t *testing.T) {
+	s := New(newOwner(), 10)
+	s.open.Store(9)
+	for path, want := range map[string]string{"/v2/runs/nobody": "1", "/checkin": ""} {
+		w := httptest.NewRecorder()
+		method := http.MethodGet
+		body := ""
+		if path == "/checkin" {
+			method, body = http.MethodPost, string(wire.Encode(&wire.Report{Machine: "m-1", Type: "t", Session: 1}))
+		}
+		s.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		if w.Code != 503 || w.Header().Get("Retry-After") != want {
+			t.Errorf("%s: %d, Retry-After %q", path, w.Code, w.Header().Get("Retry-After"))
+		}
+	}
+	s.open.Store(8)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v2/runs/nobody", nil))
+	if w.Code != 404 {
+		t.Errorf("below the limit: %d", w.Code)
+	}
+}
+
+func TestEdge(t *testing.T) {
+	srv := httptest.NewServer(New(newOwner(), 100))
 	defer srv.Close()
 	job := string(wire.Encode(&wire.Job{ID: "req-000001", Class: "c", Team: "t", Kind: wire.KindArray, Priority: "normal",
 		Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i"}))
