One place each for zone counts, slack and a machine's kind

No change of behaviour is meant. The zones that a job's tasks hold were counted by three loops, in placing once for every task placed: now Job.Zones, counted once a pass and kept up. The slack was written out three times: now Job.Slack.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -198,12 +198,7 @@
 
 // refuge reports whether a machine has free room and the image for a replica.
 func (c *Core) refuge(p *sched.Placement) bool {
-	held := map[string]int{}
-	for i := range p.Job.Tasks {
-		if q := p.Job.Tasks[i].Place; q != nil && q != p {
-			held[q.Machine.Zone]++
-		}
-	}
+	held := p.Job.Zones(p)
 	for _, m := range c.order {
 		_, warm := m.Images[p.Image]
 		if warm && m.Usable(c.env.Now(), c.fresh()) && m.Errors == 0 && p.Need.Fits(m.Room()) &&
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -284,7 +284,7 @@
 		return t.Place != nil && t.Place != p && t.Place.Running > 0 && !t.Place.Exited && now-t.Place.Running > 10*clock.Second
 	})
 	if !healthy && len(j.FailedOn) >= 3 {
-		j.Backoff = min(max(2*j.Backoff, 4*clock.Second), clock.Micros(60)*clock.Second)
+		j.Backoff = min(max(2*j.Backoff, 4*clock.Second), 60*clock.Second)
 		j.HoldUntil = now + j.Backoff
 		for id := range j.FailedOn { // its failures told nothing about the machines
 			if other := c.machines[id]; other != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,8 @@
 	Spot       bool
 }
 
+func kindOf(m *sched.Machine) Kind { return Kind{m.Type.Name, m.Zone, m.Spot} }
+
 // Rental is machines on order: requested, or rented and still booting.
 type Rental struct {
 	Kind  Kind
@@ -94,7 +96,7 @@
 	var ends []end
 	for _, m := range in.Machines {
 		if !m.Up && !m.Releasing && !m.Failed {
-			b.bins = append(b.bins, &bin{Kind{m.Type.Name, m.Zone, m.Spot}, m.Type, m.Room(),
+			b.bins = append(b.bins, &bin{kindOf(m), m.Type, m.Room(),
 				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Room().CPUs})
 		}
 		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed {
@@ -115,7 +117,7 @@
 				start = in.Now
 			}
 			left := p.Job.Estimate - p.Job.Tasks[p.Index].Progress
-			ends = append(ends, end{p.Task, free{max(in.Now, start+left), p.Need.CPUs, Kind{m.Type.Name, m.Zone, m.Spot}, m.Type}})
+			ends = append(ends, end{p.Task, free{max(in.Now, start+left), p.Need.CPUs, kindOf(m), m.Type}})
 		}
 	}
 	slices.SortFunc(ends, func(x, y end) int {
@@ -176,12 +178,7 @@
 // demand finds room for the unplaced tasks of one job.
 func (b *buyer) demand(u sched.Unplaced) {
 	j, need := u.Job, u.Job.Need()
-	held := map[string]int{}
-	for i := range j.Tasks {
-		if p := j.Tasks[i].Place; p != nil {
-			held[p.Machine.Zone]++
-		}
-	}
+	held := j.Zones(nil)
 	for left := u.Count; left > 0 && b.looked < maxLooked; left-- {
 		b.looked++
 		b.left -= need.CPUs
@@ -305,11 +302,10 @@
 		// needed anyway is rented at once.
 		return wait > boot/2
 	}
-	target := j.Aim(b.Now)
-	if target >= clock.Forever {
+	if j.Aim(b.Now) >= clock.Forever {
 		return wait > 4*boot
 	}
-	spare := target - b.Now - j.Estimate
+	spare := j.Slack(b.Now)
 	if spare < boot+b.fetch(j, t) {
 		// Not even this machine would make it in time: what is late anyway does
 		// not pay for an ordinary machine unless it would wait very long.
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -72,12 +72,8 @@
 	if j.Priority >= wire.PriorityHigh {
 		return first
 	}
-	aim := j.Aim(now)
-	slack := aim - now - j.Estimate
-	switch {
-	case aim == clock.Forever:
-		return relaxed
-	case slack >= 0 && slack < pressedFor+j.Estimate/2:
+	slack := j.Slack(now)
+	if j.Aim(now) < clock.Forever && slack >= 0 && slack < pressedFor+j.Estimate/2 {
 		return pressed
 	}
 	return relaxed
@@ -87,6 +83,9 @@
 // images in that order of time.
 const pressedFor = 15 * clock.Second
 
+// Slack is how long the job's tasks can wait and still meet its aim.
+func (j *Job) Slack(now Micros) Micros { return j.Aim(now) - now - j.Estimate }
+
 // Aim is when the job should be done: its deadline or the earliest objective
 // of its class that it can still meet.
 func (j *Job) Aim(now Micros) Micros {
@@ -144,11 +143,15 @@
 
 func (p *pass) placeEach(j *Job) {
 	team := p.Teams[j.Spec.Team]
+	var held map[string]int // nil: the job does not care for zones
+	if j.Spec.Spread || j.Spec.OneZone {
+		held = j.Zones(nil)
+	}
 	for len(j.Queue) > 0 {
 		if !team.Allows(j.Need()) {
 			return // the limit, not room, holds it back: no machine is bought for it
 		}
-		m, victims := p.choose(j, p.zones(j))
+		m, victims := p.choose(j, held)
 		if m == nil {
 			break
 		}
@@ -156,6 +159,9 @@
 			p.stop(v, 0)
 		}
 		p.place(j, m, p.Attempt())
+		if held != nil {
+			held[m.Zone]++
+		}
 	}
 	if n := len(j.Queue); n > 0 {
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
@@ -165,15 +171,11 @@
 	}
 }
 
-// zones counts the places a job's tasks hold by zone; nil when the job does
-// not care.
-func (p *pass) zones(j *Job) map[string]int {
-	if !j.Spec.Spread && !j.Spec.OneZone {
-		return nil
-	}
+// Zones counts, by zone, the places that a job's tasks hold, leaving out one.
+func (j *Job) Zones(without *Placement) map[string]int {
 	count := map[string]int{}
 	for i := range j.Tasks {
-		if pl := j.Tasks[i].Place; pl != nil {
+		if pl := j.Tasks[i].Place; pl != nil && pl != without {
 			count[pl.Machine.Zone]++
 		}
 	}
@@ -279,7 +281,7 @@
 	default:
 		// A spot machine that must fetch first is cheaper than an ordinary one
 		// that need not, as long as the job can wait for the fetch.
-		slack := (j.Aim(p.Now) - p.Now - j.Estimate).Seconds()
+		slack := j.Slack(p.Now).Seconds()
 		cost = 3 + room.CPUs/m.Type.CPUs + max(0, min(slack/2, 0.4*j.Estimate.Seconds()))
 	}
 	if m.Errors > 0 {
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -27,11 +27,6 @@
 	told      bool
 	doneTasks map[int]bool
 	zones     map[string]int
-	machineOf map[int]place
-}
-
-type place struct {
-	machine, zone string
 }
 
 // NewChecker makes a checker.
@@ -45,7 +40,7 @@
 
 // Known tells the checker of a job that a user is about to submit.
 func (c *Checker) Known(job *wire.Job) {
-	c.jobs[job.ID] = &judged{job: job, doneTasks: map[int]bool{}, zones: map[string]int{}, machineOf: map[int]place{}}
+	c.jobs[job.ID] = &judged{job: job, doneTasks: map[int]bool{}, zones: map[string]int{}}
 }
 
 // Known facts of a job when a request was sent: only these bind its answer,
@@ -127,7 +122,7 @@
 // Started judges a task that begins on a machine.
 func (c *Checker) Started(now Micros, task, machine, typ, zone string, spot bool) {
 	c.started++
-	id, index, _ := wire.SplitTask(task)
+	id, _, _ := wire.SplitTask(task)
 	j := c.jobs[id]
 	if j == nil {
 		c.broke("invented", "%s started", task)
@@ -164,7 +159,6 @@
 	}
 	c.on[task][machine] = true
 	j.zones[zone]++
-	j.machineOf[index] = place{machine, zone}
 	c.usage[s.Team] += s.CPUs
 	if limit := c.Limits[s.Team]; limit > 0 && c.usage[s.Team] > limit+1e-6 {
 		c.broke("quota", "%s uses %v of %v", s.Team, c.usage[s.Team], limit)
