Rent for all that waits, and weigh a machine once for each job in a pass

Change: no bound; instead a job's tasks share one walk over the bins, running tasks that end alike merge, and a pass works out a job's cost on a machine once and again only where it placed.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -407,10 +407,10 @@
 // plan runs a scheduling pass and hands its decisions on.
 func (c *Core) plan() {
 	now := c.env.Now()
-	var active []*sched.Job
+	var pending []*sched.Job
 	for _, j := range c.jobs {
-		if j.Active() {
-			active = append(active, j)
+		if j.Active() && len(j.Queue) > 0 {
+			pending = append(pending, j)
 		}
 	}
 	for i := range c.catalog {
@@ -419,7 +419,7 @@
 		}
 	}
 	out := sched.Plan(&sched.Input{
-		Now: now, Fresh: c.fresh(), Jobs: active, Machines: c.order, Teams: c.teams,
+		Now: now, Fresh: c.fresh(), Jobs: pending, Machines: c.order, Teams: c.teams,
 		Rates: c.rates, Attempt: c.attempt,
 		MaxTasks: int(c.cfg.Params.State.ValueKB * 1024 / 250),
 	})
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -112,7 +112,8 @@
 			reported[t.Task] = t // adopted
 		}
 	}
-	for _, p := range places(m) {
+	held := places(m)
+	for _, p := range held {
 		if t := reported[p.Task]; t != nil {
 			c.observe(m, p, t, now)
 			continue
@@ -127,7 +128,10 @@
 		return []wire.Command{} // a fading leader starts, stops and forgets nothing
 	}
 	stop, start := []wire.Command{}, []wire.Command(nil)
-	for _, p := range places(m) {
+	for _, p := range held {
+		if m.Places[p.Task] != p {
+			continue // has just left
+		}
 		over := p.Job == nil || p.Job.Cancelled || p.Job.Ended && !p.Exited
 		switch {
 		case p.Exited:
@@ -194,7 +198,7 @@
 	if t.State != wire.TaskExited || p.Exited {
 		return
 	}
-	p.Exited = true
+	p.Exit()
 	slog.Debug("task exited", "task", p.Task, "machine", m.ID, "cause", t.Cause, "saved", t.Saved,
 		"ran", ranFor(p, now), "priority", p.Priority)
 	c.wake()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,10 @@
 
 func kindOf(m *sched.Machine) Kind { return Kind{m.Type.Name, m.Zone, m.Spot} }
 
+func (k Kind) compare(o Kind) int {
+	return cmp.Or(cmp.Compare(k.Type, o.Type), cmp.Compare(k.Zone, o.Zone), cmp.Compare(b2i(k.Spot), b2i(o.Spot)))
+}
+
 // Rental is machines on order: requested, or rented and still booting.
 type Rental struct {
 	Kind  Kind
@@ -61,9 +65,11 @@
 type buyer struct {
 	*Input
 	bins   []*bin
-	frees  []free
+	frees  []free // by time; worked out when first asked for
+	known  bool
+	head   int // what lies before is used up
 	bought map[Kind]int
-	looked int
+	looked int     // bins and frees looked at: the cost of it all
 	supply float64 // CPUs for batch work, up or on their way
 	left   float64 // CPUs of the demand not looked at yet
 }
@@ -76,55 +82,73 @@
 	typ  *wire.MachineType
 }
 
+func compareFree(x, y free) int { return cmp.Or(cmp.Compare(x.at, y.at), x.kind.compare(y.kind)) }
+
 // release enters room that gets free at the given time.
 func (b *buyer) release(f free) {
-	i, _ := slices.BinarySearchFunc(b.frees, f, func(x, y free) int {
-		return cmp.Or(cmp.Compare(x.at, y.at), -1) // after its equals
-	})
-	b.frees = slices.Insert(b.frees, i, f)
+	b.free()
+	i, found := slices.BinarySearchFunc(b.frees, f, compareFree)
+	if found {
+		b.frees[i].cpus += f.cpus
+	} else {
+		b.frees = slices.Insert(b.frees, i, f)
+	}
+	b.head = min(b.head, i)
 }
 
-// Plan decides what to rent now. Demand first goes to machines on their way,
-// then to room that running tasks will free in time, and only then to new
-// machines.
-func Plan(in *Input) []Buy {
-	b := &buyer{Input: in, bought: map[Kind]int{}}
-	type end struct {
-		task string
-		free
+// free works out what running tasks will free.
+func (b *buyer) free() {
+	if b.known {
+		return
 	}
-	var ends []end
-	for _, m := range in.Machines {
-		if !m.Up && !m.Releasing && !m.Failed {
-			b.bins = append(b.bins, &bin{kindOf(m), m.Type, m.Room(),
-				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Room().CPUs})
-		}
-		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed {
-			b.supply += m.Type.CPUs
-		}
+	b.known = true
+	for _, m := range b.Machines {
 		if m.Releasing || m.Draining || m.Notice != 0 || m.Errors > 0 {
 			continue
 		}
+		kind := kindOf(m)
 		for _, p := range m.Places {
-			if p.Priority == wire.PriorityProduction && !p.Exited {
-				b.supply -= p.Need.CPUs
-			}
 			if p.Job == nil || p.Job.Service() || p.Exited {
 				continue
 			}
 			start := p.Running
 			if start == 0 {
-				start = in.Now
+				start = b.Now
 			}
 			left := p.Job.Estimate - p.Job.Tasks[p.Index].Progress
-			ends = append(ends, end{p.Task, free{max(in.Now, start+left), p.Need.CPUs, kindOf(m), m.Type}})
+			b.frees = append(b.frees, free{max(b.Now, start+left), p.Need.CPUs, kind, m.Type})
 		}
 	}
-	slices.SortFunc(ends, func(x, y end) int {
-		return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.task, y.task))
-	})
-	for _, e := range ends {
-		b.frees = append(b.frees, e.free)
+	slices.SortFunc(b.frees, compareFree)
+	merged := b.frees[:0]
+	for _, f := range b.frees {
+		if n := len(merged); n > 0 && compareFree(merged[n-1], f) == 0 {
+			merged[n-1].cpus += f.cpus
+		} else {
+			merged = append(merged, f)
+		}
+	}
+	b.frees = merged
+}
+
+// Plan decides what to rent now. Demand first goes to machines on their way,
+// then to room that running tasks will free in time, and only then to new
+// machines.
+func Plan(in *Input) []Buy { return newBuyer(in).plan() }
+
+func newBuyer(in *Input) *buyer {
+	b := &buyer{Input: in, bought: map[Kind]int{}}
+	for _, m := range in.Machines {
+		if !m.Up && !m.Releasing && !m.Failed {
+			b.bins = append(b.bins, &bin{kindOf(m), m.Type, m.Room(),
+				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Room().CPUs})
+		}
+		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed {
+			b.supply += m.Type.CPUs
+			if m.Errors == 0 {
+				b.supply -= m.Production()
+			}
+		}
 	}
 	for _, r := range in.Ordered {
 		if t := b.typ(r.Kind.Type); t != nil {
@@ -134,10 +158,14 @@
 			}
 		}
 	}
-	for _, u := range in.Unplaced {
+	return b
+}
+
+func (b *buyer) plan() []Buy {
+	for _, u := range b.Unplaced {
 		b.left += float64(u.Count) * u.Job.Spec.CPUs
 	}
-	for _, u := range in.Unplaced {
+	for _, u := range b.Unplaced {
 		b.demand(u)
 	}
 	b.headroom()
@@ -145,10 +173,7 @@
 	for k, n := range b.bought {
 		out = append(out, Buy{k, min(n, 50)})
 	}
-	slices.SortFunc(out, func(x, y Buy) int {
-		return cmp.Or(cmp.Compare(x.Kind.Type, y.Kind.Type), cmp.Compare(x.Kind.Zone, y.Kind.Zone),
-			cmp.Compare(b2i(x.Kind.Spot), b2i(y.Kind.Spot)))
-	})
+	slices.SortFunc(out, func(x, y Buy) int { return x.Kind.compare(y.Kind) })
 	return out
 }
 
@@ -179,10 +204,10 @@
 func (b *buyer) demand(u sched.Unplaced) {
 	j, need := u.Job, u.Job.Need()
 	held := j.Zones(nil)
-	for left := u.Count; left > 0 && b.looked < maxLooked; left-- {
-		b.looked++
+	next := 0 // a bin that has no room for one task of a job has none for the others
+	for range u.Count {
 		b.left -= need.CPUs
-		if b.fromBins(j, need, held) {
+		if b.fromBins(j, need, held, &next) {
 			continue
 		}
 		wait := clock.Forever
@@ -195,7 +220,7 @@
 			b.bought[kind]++
 			b.supply += b.typ(kind.Type).CPUs
 			b.bins = append(b.bins, b.newBin(kind, b.typ(kind.Type)))
-			b.fromBins(j, need, held)
+			b.fromBins(j, need, held, &next)
 		case wait < clock.Forever/2:
 			b.consume(j, need.CPUs)
 		default:
@@ -204,18 +229,18 @@
 	}
 }
 
-// maxLooked bounds the tasks that one pass looks at; what lies behind them
-// will be looked at when they are placed.
-const maxLooked = 400
-
-func (b *buyer) fromBins(j *sched.Job, need sched.Need, held map[string]int) bool {
-	for _, x := range b.bins {
+func (b *buyer) fromBins(j *sched.Job, need sched.Need, held map[string]int, next *int) bool {
+	for ; *next < len(b.bins); *next++ {
+		x := b.bins[*next]
+		b.looked++
 		if need.Fits(x.room) && j.Allows(x.typ, x.kind.Zone, x.kind.Spot) && sched.ZoneAllows(j, held, x.kind.Zone) {
 			x.room = x.room.Sub(need)
 			if j.Priority == wire.PriorityProduction {
 				x.yield -= need.CPUs
 			}
-			held[x.kind.Zone]++
+			if held != nil {
+				held[x.kind.Zone]++
+			}
 			if j.Array() {
 				b.release(free{x.at + j.Estimate, need.CPUs, x.kind, x.typ})
 			}
@@ -228,7 +253,12 @@
 // nextFree finds when tasks that run, or will run, have freed enough for one
 // more task of j.
 func (b *buyer) nextFree(j *sched.Job, cpus float64) sched.Micros {
-	for _, f := range b.frees {
+	b.free()
+	for b.head < len(b.frees) && b.frees[b.head].cpus <= 0 {
+		b.head++
+	}
+	for _, f := range b.frees[b.head:] {
+		b.looked++
 		if f.cpus > 0 && j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
 			if cpus -= f.cpus; cpus <= 1e-6 {
 				return f.at
@@ -241,8 +271,9 @@
 // consume gives the next free room to a task of j, until that ends.
 func (b *buyer) consume(j *sched.Job, cpus float64) {
 	need := cpus
-	for i := range b.frees {
+	for i := b.head; i < len(b.frees); i++ {
 		f := &b.frees[i]
+		b.looked++
 		if f.cpus <= 0 || !j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
 			continue
 		}
@@ -351,20 +382,23 @@
 func (in *Input) Spare(without *sched.Machine) float64 {
 	sum := 0.0
 	for _, m := range in.Machines {
-		if m == without || m.Spot || !m.Up || m.Releasing || m.Draining || m.Retiring || m.Errors > 0 ||
-			in.Service != nil && !in.Service.Allows(m.Type, m.Zone, false) {
-			continue
-		}
-		sum += m.Room().CPUs
-		for _, p := range m.Places {
-			if p.Priority < wire.PriorityProduction && !p.Exited {
-				sum += p.Need.CPUs
-			}
+		if m != without {
+			sum += in.spare(m)
 		}
 	}
 	return sum
 }
 
+// spare is one machine's part of it: what is free, or held by work that
+// services may stop.
+func (in *Input) spare(m *sched.Machine) float64 {
+	if m.Spot || !m.Up || m.Releasing || m.Draining || m.Retiring || m.Errors > 0 ||
+		in.Service != nil && !in.Service.Allows(m.Type, m.Zone, false) {
+		return 0
+	}
+	return m.Type.CPUs - m.Production()
+}
+
 // Retire picks a machine to empty: one whose tasks would all fit into the room
 // of the others of its kind, with the headroom for services to spare. It is the
 // one that costs most for what it holds; nil if there is none.
@@ -375,6 +409,7 @@
 			total[m.Spot] += m.Room().CPUs
 		}
 	}
+	spare := in.Spare(nil)
 	var best *sched.Machine
 	bestCost := 0.0
 	for _, m := range in.Machines {
@@ -383,15 +418,10 @@
 		}
 		room := m.Room().CPUs
 		used := m.Type.CPUs - room
-		services := 0.0
-		for _, p := range m.Places {
-			if p.Job != nil && p.Job.Service() {
-				services += p.Need.CPUs
-			}
-		}
+		services := m.Production()
 		// Batch work finishes where it is; its successors need room elsewhere.
 		if total[false]+total[true]-room < used+in.Headroom || total[false]-room < services ||
-			in.Spare(m) < services+in.Headroom {
+			spare-in.spare(m) < services+in.Headroom {
 			continue
 		}
 		if cost := m.Type.Price / (used + 1); cost > bestCost {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -129,6 +129,9 @@
 	Notice   Micros // when the cloud takes it; 0: no notice
 
 	Places map[string]*Placement
+	held   Need              // by the places that are not exited; see hold
+	prod   float64           // the CPUs of it that production work holds
+	slot   int               // in the pass under way
 	Images map[string]Micros // last use
 	Sizes  map[string]float64
 
@@ -144,14 +147,17 @@
 
 // Room is what the machine has free. Tasks without proof of absence hold
 // theirs; exited tasks hold none.
-func (m *Machine) Room() Need {
-	r := m.Size()
-	for _, p := range m.Places {
-		if !p.Exited {
-			r = r.Sub(p.Need)
-		}
+func (m *Machine) Room() Need { return m.Size().Sub(m.held) }
+
+// Production is the CPUs that production work holds, which nothing may stop.
+func (m *Machine) Production() float64 { return m.prod }
+
+// hold adds a place to what the machine holds, or with sign -1 takes it away.
+func (m *Machine) hold(p *Placement, sign float64) {
+	m.held = m.held.Add(Need{sign * p.Need.CPUs, sign * p.Need.GPUs, sign * p.Need.Memory})
+	if p.Priority == wire.PriorityProduction {
+		m.prod += sign * p.Need.CPUs
 	}
-	return r
 }
 
 // Size is the machine's whole room.
@@ -169,7 +175,11 @@
 // Touch notes the use of an image and forgets the least recently used ones
 // beyond the cache.
 func (m *Machine) Touch(image string, gb float64, now Micros) {
+	_, known := m.Images[image]
 	m.Images[image] = now
+	if known { // most reports bring nothing new
+		return
+	}
 	m.Sizes[image] = gb
 	for {
 		total, oldest := 0.0, ""
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -14,7 +14,7 @@
 type Input struct {
 	Now      Micros
 	Fresh    Micros // a report not older than this makes a machine usable
-	Jobs     []*Job // active jobs
+	Jobs     []*Job // jobs with pending tasks
 	Machines []*Machine
 	Teams    map[string]*Team
 	Rates    map[string]float64 // smoothed fetch rate by type, GB a second
@@ -33,6 +33,7 @@
 	Launch   []*Placement
 	Stop     []*Placement
 	Unplaced []Unplaced
+	Looked   int // how often a job was weighed against a machine: the pass's cost
 }
 
 // Order sorts jobs by the paper's levels (urgency, team, pipeline, rank).
@@ -105,28 +106,40 @@
 	return 0
 }
 
-// pass is the working state of one Plan call.
+// pass is the working state of one Plan call. Slices hold one entry for each
+// usable machine.
 type pass struct {
 	*Input
-	out     Output
-	room    map[*Machine]Need
-	service map[*Machine]float64 // share of the CPUs that services hold
+	out   Output
+	use   []*Machine
+	room  []Need
+	share []float64 // of the CPUs that services hold
+
+	// Of the job being placed: what a task of it costs on each machine. All its
+	// tasks are alike, so a place changes the cost of its own machine only.
+	cost  []float64
+	full  []bool               // the cost lacks that of making room
+	taken map[int][]*Placement // who would be stopped to make room
 }
 
 // Plan runs one scheduling cycle.
 func Plan(in *Input) Output {
-	p := &pass{Input: in, room: make(map[*Machine]Need, len(in.Machines)), service: map[*Machine]float64{}}
+	p := &pass{Input: in, use: make([]*Machine, 0, len(in.Machines))}
 	for _, m := range in.Machines {
+		m.slot = -1
 		if !m.Usable(in.Now, in.Fresh) {
 			continue
 		}
-		p.room[m] = m.Room()
+		m.slot = len(p.use)
+		share := 0.0
 		for _, pl := range m.Places {
 			if pl.Job != nil && pl.Job.Service() && !pl.Exited {
-				p.service[m] += pl.Need.CPUs / m.Type.CPUs
+				share += pl.Need.CPUs / m.Type.CPUs
 			}
 		}
+		p.use, p.room, p.share = append(p.use, m), append(p.room, m.Room()), append(p.share, share)
 	}
+	p.cost, p.full = make([]float64, len(p.use)), make([]bool, len(p.use))
 	Order(in.Jobs, in.Teams, in.Now)
 	for _, j := range in.Jobs {
 		if !j.Active() || len(j.Queue) == 0 || in.Now < j.HoldUntil {
@@ -143,25 +156,27 @@
 
 func (p *pass) placeEach(j *Job) {
 	team := p.Teams[j.Spec.Team]
-	var held map[string]int // nil: the job does not care for zones
-	if j.Spec.Spread || j.Spec.OneZone {
-		held = j.Zones(nil)
+	if !team.Allows(j.Need()) {
+		return
 	}
+	held := j.Zones(nil)
+	p.scoreAll(j, "")
 	for len(j.Queue) > 0 {
 		if !team.Allows(j.Need()) {
 			return // the limit, not room, holds it back: no machine is bought for it
 		}
-		m, victims := p.choose(j, held)
-		if m == nil {
+		i, victims := p.choose(j, held)
+		if i < 0 {
 			break
 		}
 		for _, v := range victims {
 			p.stop(v, 0)
 		}
-		p.place(j, m, p.Attempt())
+		p.place(j, i, p.Attempt())
 		if held != nil {
-			held[m.Zone]++
+			held[p.use[i].Zone]++
 		}
+		p.score(j, i)
 	}
 	if n := len(j.Queue); n > 0 {
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
@@ -171,8 +186,12 @@
 	}
 }
 
-// Zones counts, by zone, the places that a job's tasks hold, leaving out one.
+// Zones counts, by zone, the places that a job's tasks hold, leaving out one;
+// nil if the job does not care for zones.
 func (j *Job) Zones(without *Placement) map[string]int {
+	if !j.Spec.Spread && !j.Spec.OneZone {
+		return nil
+	}
 	count := map[string]int{}
 	for i := range j.Tasks {
 		if pl := j.Tasks[i].Place; pl != nil && pl != without {
@@ -197,11 +216,9 @@
 	return true
 }
 
-func (p *pass) allowed(j *Job, m *Machine, held map[string]int) bool {
-	if held != nil && !ZoneAllows(j, held, m.Zone) || !j.Allows(m.Type, m.Zone, m.Spot) {
-		return false
-	}
-	if len(m.Places) >= p.MaxTasks {
+// allowed leaves zones, which depend on the job's other tasks, to choose.
+func (p *pass) allowed(j *Job, m *Machine) bool {
+	if !j.Allows(m.Type, m.Zone, m.Spot) || len(m.Places) >= p.MaxTasks {
 		return false
 	}
 	// A machine that failed its last task gets one task at a time, of a job
@@ -210,55 +227,88 @@
 	return m.Errors == 0 || len(m.Places) == 0 && !j.FailedOn[m.ID]
 }
 
-// Delay is the expected wait for the image on m.
+// delay is the expected wait for the image on m, in seconds.
 func (p *pass) delay(j *Job, m *Machine) float64 {
 	if _, ok := m.Images[j.Spec.Image]; ok {
 		return 0
 	}
-	others := map[string]bool{}
+	alone := j.Spec.ImageGB / p.Rates[m.Type.Name]
+	var others []string
 	for _, q := range m.Places {
-		if q.Image == j.Spec.Image && !q.Exited {
-			return j.Spec.ImageGB / p.Rates[m.Type.Name] / 2 // its fetch is under way
+		if q.Exited {
+			continue
+		}
+		if q.Image == j.Spec.Image {
+			return alone / 2 // its fetch is under way
 		}
-		if q.Running == 0 && !q.Exited && q.Image != "" {
+		if q.Running == 0 && q.Image != "" && !slices.Contains(others, q.Image) {
 			if _, cached := m.Images[q.Image]; !cached {
-				others[q.Image] = true
+				others = append(others, q.Image)
 			}
 		}
 	}
-	return j.Spec.ImageGB / p.Rates[m.Type.Name] * float64(1+len(others))
+	return alone * float64(1+len(others))
 }
 
-// choose picks the machine where a task of j starts at the least cost, in
-// seconds of expected delay and what is as bad as a second of it. For a
-// production job, tasks of lower priority may be stopped at once to make room.
-func (p *pass) choose(j *Job, held map[string]int) (*Machine, []*Placement) {
-	var best *Machine
-	var bestVictims []*Placement
-	bestCost := math.Inf(1)
-	need := j.Need()
-	for _, m := range p.Machines {
-		room, ok := p.room[m]
-		if !ok || !p.allowed(j, m, held) {
+// scoreAll works out what a task of j costs on each machine, in the given zone
+// if one is named.
+func (p *pass) scoreAll(j *Job, zone string) {
+	p.taken = nil
+	for i := range p.use {
+		if zone != "" && p.use[i].Zone != zone {
+			p.cost[i] = math.Inf(1)
 			continue
 		}
-		cost := p.delay(j, m) + p.packing(j, m, room)
-		var victims []*Placement
-		if !need.Fits(room) {
-			if j.Priority != wire.PriorityProduction || m.Errors > 0 {
-				continue
-			}
-			var lost float64
-			if victims, lost = p.enough(m, j.Priority, need, room); victims == nil {
-				continue
+		p.score(j, i)
+	}
+}
+
+// score works out the cost on one machine, in seconds of expected delay and
+// what is as bad as a second of it. For a production job, tasks of lower
+// priority may be stopped at once to make room; what that costs is only worked
+// out when the machine would otherwise be chosen.
+func (p *pass) score(j *Job, i int) {
+	p.out.Looked++
+	m := p.use[i]
+	p.cost[i], p.full[i] = math.Inf(1), false
+	delete(p.taken, i)
+	if !j.Need().Fits(p.room[i]) {
+		if j.Priority != wire.PriorityProduction || m.Errors > 0 {
+			return
+		}
+		p.full[i] = true
+	}
+	if p.allowed(j, m) {
+		p.cost[i] = p.delay(j, m) + p.packing(j, i)
+	}
+}
+
+// choose picks the machine where a task of j starts at the least cost, or -1,
+// and the tasks to stop for it.
+func (p *pass) choose(j *Job, held map[string]int) (int, []*Placement) {
+	for {
+		best, least := -1, math.Inf(1)
+		for i, cost := range p.cost {
+			if cost < least && (held == nil || ZoneAllows(j, held, p.use[i].Zone)) {
+				best, least = i, cost
 			}
-			cost += lost / lossPerSecond
 		}
-		if cost < bestCost {
-			best, bestVictims, bestCost = m, victims, cost
+		if best < 0 || !p.full[best] {
+			return best, p.taken[best]
 		}
+		p.out.Looked++
+		p.full[best] = false
+		victims, lost := p.enough(p.use[best], j.Priority, j.Need(), p.room[best])
+		if victims == nil {
+			p.cost[best] = math.Inf(1)
+			continue
+		}
+		p.cost[best] += lost / lossPerSecond
+		if p.taken == nil {
+			p.taken = map[int][]*Placement{}
+		}
+		p.taken[best] = victims
 	}
-	return best, bestVictims
 }
 
 // lossPerSecond is how many CPU-seconds of lost work weigh as much as a second
@@ -269,9 +319,10 @@
 // Services gather on few machines. Other work first fills the room beside
 // them, which is paid for anyway, then spot machines, then ordinary ones, the
 // fullest first: so machines empty and can be returned.
-func (p *pass) packing(j *Job, m *Machine, room Need) float64 {
+func (p *pass) packing(j *Job, i int) float64 {
+	m, room := p.use[i], p.room[i]
 	cost := 0.0
-	switch share := p.service[m]; {
+	switch share := p.share[i]; {
 	case j.Service():
 		cost = 2 * (1 - share)
 	case share > 0 && !m.Spot:
@@ -336,12 +387,17 @@
 // makeRoom stops checkpointed work of lower priority, with time to save, for
 // n waiting tasks of j. The freed room goes to the queue's head by itself.
 func (p *pass) makeRoom(j *Job, n int) {
+	urgency := j.urgency(p.Now)
+	if urgency == relaxed {
+		return // nothing can wait longer
+	}
 	need := j.Need()
-	for _, m := range p.Machines {
-		room, ok := p.room[m]
-		if !ok || m.Errors > 0 || !p.allowed(j, m, nil) {
+	for i, m := range p.use {
+		if m.Errors > 0 || !p.allowed(j, m) {
 			continue
 		}
+		p.out.Looked++
+		room := p.room[i]
 		for _, v := range m.Places {
 			if v.Stopping && !v.Exited {
 				room = room.Add(v.Need)
@@ -358,7 +414,7 @@
 			// Only work that can wait makes way. The freed room goes to the queue's
 			// head: work that would stand before j there must not be stopped for
 			// it, or it would start and stop for ever.
-			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 || v.Job.urgency(p.Now) <= j.urgency(p.Now) {
+			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 || v.Job.urgency(p.Now) <= urgency {
 				continue
 			}
 			p.stop(v, v.Job.Spec.Save+1)
@@ -376,11 +432,12 @@
 	p.out.Stop = append(p.out.Stop, v)
 	if grace == 0 {
 		// The worker runs the stop before the launch that rides with it.
-		p.room[v.Machine] = p.room[v.Machine].Add(v.Need)
+		p.room[v.Machine.slot] = p.room[v.Machine.slot].Add(v.Need)
 	}
 }
 
-func (p *pass) place(j *Job, m *Machine, attempt uint64) {
+func (p *pass) place(j *Job, i int, attempt uint64) {
+	m := p.use[i]
 	index := int(j.Queue[0])
 	j.Queue = j.Queue[1:]
 	pl := &Placement{
@@ -389,15 +446,20 @@
 		Priority: j.Priority, Image: j.Spec.Image,
 	}
 	Attach(pl, p.Teams)
-	p.room[m] = p.room[m].Sub(pl.Need)
+	p.room[i] = p.room[i].Sub(pl.Need)
 	if j.Service() {
-		p.service[m] += pl.Need.CPUs / m.Type.CPUs
+		p.share[i] += pl.Need.CPUs / m.Type.CPUs
 	}
 	p.out.Launch = append(p.out.Launch, pl)
 }
 
-// Attach enters a placement into the model.
+// Attach enters a placement into the model. A worker has a task once at most,
+// so a place that the same task held on the machine ends.
 func Attach(pl *Placement, teams map[string]*Team) {
+	if old := pl.Machine.Places[pl.Task]; old != nil {
+		Detach(old, teams)
+	}
+	pl.Machine.hold(pl, 1)
 	pl.Machine.Places[pl.Task] = pl
 	if t := teams[pl.Team]; t != nil {
 		t.Held = t.Held.Add(pl.Need)
@@ -415,6 +477,9 @@
 		return
 	}
 	delete(pl.Machine.Places, pl.Task)
+	if !pl.Exited {
+		pl.Machine.hold(pl, -1)
+	}
 	if t := teams[pl.Team]; t != nil {
 		t.Held = t.Held.Sub(pl.Need)
 	}
@@ -424,6 +489,14 @@
 	}
 }
 
+// Exit notes that the task was seen exited: it takes no room any more.
+func (pl *Placement) Exit() {
+	if !pl.Exited && pl.Machine.Places[pl.Task] == pl {
+		pl.Machine.hold(pl, -1)
+	}
+	pl.Exited = true
+}
+
 // placeGang places all tasks of a gang within this pass or none of them.
 func (p *pass) placeGang(j *Job) {
 	if j.Placed > 0 || len(j.Queue) < len(j.Tasks)-j.DoneCount {
@@ -445,8 +518,8 @@
 		if picks := p.gangPicks(j, n, zone); picks != nil {
 			attempt := p.Attempt()
 			j.GangAttempt = attempt
-			for _, m := range picks {
-				p.place(j, m, attempt)
+			for _, i := range picks {
+				p.place(j, i, attempt)
 			}
 			return
 		}
@@ -467,25 +540,21 @@
 
 // gangPicks finds a machine for each of n tasks, in the given zone if one is
 // named, without changing the model.
-func (p *pass) gangPicks(j *Job, n int, zone string) []*Machine {
-	saved := make(map[*Machine]Need, len(p.room))
-	for m, r := range p.room {
-		saved[m] = r
-		if zone != "" && m.Zone != zone {
-			delete(p.room, m)
-		}
-	}
+func (p *pass) gangPicks(j *Job, n int, zone string) []int {
+	saved := slices.Clone(p.room)
 	defer func() { p.room = saved }()
 	held := map[string]int{}
-	var picks []*Machine
+	p.scoreAll(j, zone)
+	var picks []int
 	for range n {
-		m, victims := p.choose(j, held)
-		if m == nil || victims != nil { // a gang waits for room instead
+		i, victims := p.choose(j, held)
+		if i < 0 || victims != nil { // a gang waits for room instead
 			return nil
 		}
-		held[m.Zone]++
-		p.room[m] = p.room[m].Sub(j.Need())
-		picks = append(picks, m)
+		held[p.use[i].Zone]++
+		p.room[i] = p.room[i].Sub(j.Need())
+		p.score(j, i)
+		picks = append(picks, i)
 	}
 	return picks
 }
