Launches and stops go straight to the worker

Ruled out: placing (a pass within 0.25 s) and the commit (20 ms). Orders that arrive late, and reports older than an answered order, are scenarios that fail without their guards.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -187,3 +187,7 @@
 
 // WorkerLease is the lease of a worker.
 func (c *Config) WorkerLease() clock.Micros { return clock.FromSeconds(c.Params.Workers.Lease) }
+
+// OrderLimit is how many orders to workers may be under way at once; so many
+// sockets are kept for them.
+func (c *Config) OrderLimit() int { return max(c.Params.Resources.FDLimit/16, 8) }
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -143,6 +143,7 @@
 					f()
 				}
 			}
+			c.sendOrders()
 			w.pump()
 		case store.Failed:
 			c.lead.Recheck(again)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -43,6 +43,10 @@
 	// Ask sends a message to another controller; done gets nil when no answer
 	// came in time.
 	Ask(node string, m *peer.Msg, timeout Micros, done func(*peer.Msg))
+	// Order sends commands to the worker at addr; done gets OK or, when nothing
+	// was executed because token or session differ, Failed, both with the
+	// worker's report.
+	Order(addr string, o *wire.Orders, done func(store.Outcome, *wire.Report))
 	State() store.Service
 	Cloud() Cloud
 }
@@ -103,6 +107,8 @@
 	planned     Micros
 	unplaced    []sched.Unplaced
 	lastReport  Micros
+	ordering    int // orders under way
+	toOrder     []*sched.Machine
 	moved       Micros // when a replica was last moved
 }
 
@@ -307,6 +313,7 @@
 	c.toRelease, c.releasing = nil, false
 	c.arrivals = map[string]*arrival{}
 	c.unplaced = nil
+	c.ordering, c.toOrder = 0, nil
 	c.setWriteShare(leaderShare)
 	c.load(term)
 }
@@ -359,6 +366,7 @@
 	c.proveByLease(now)
 	if c.serving() {
 		c.tendMachines(now)
+		c.sendOrders()
 		c.wake()
 	}
 	c.commit.pump()
@@ -424,8 +432,17 @@
 		MaxTasks: int(c.cfg.Params.State.ValueKB * 1024 / 250),
 	})
 	for _, pl := range out.Launch {
-		c.saveMachine(pl.Machine, c.during(func() { pl.Committed = true }))
+		c.saveMachine(pl.Machine, c.during(func() {
+			pl.Committed = true
+			c.orderSoon(pl.Machine)
+		}))
 	}
+	for _, v := range out.Stop {
+		if v.Grace > 0 { // the others go with the launch that they make room for
+			c.orderSoon(v.Machine)
+		}
+	}
+	c.sendOrders()
 	c.unplaced = out.Unplaced
 	c.buy(now)
 	c.commit.pump()
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -120,6 +120,10 @@
 			continue
 		}
 		boot := clock.FromSeconds(m.Type.Boot)
+		some, loose := c.unanswered(m, now)
+		if some && !m.Draining {
+			c.drain(m)
+		}
 		why := ""
 		switch {
 		case m.Failed:
@@ -134,6 +138,8 @@
 			why = "silent and empty"
 		case !m.Acked && m.Busy() && settled:
 			why = "does not acknowledge this term"
+		case loose:
+			why = "holds only a launch that was never answered"
 		case m.Busy() || !m.Up:
 		case m.Draining || m.Notice != 0:
 			why = "drained"
@@ -185,6 +191,7 @@
 				slog.Debug("moving replica", "task", p.Task, "from", m.ID)
 				p.Stopping, p.Grace = true, 0
 				c.moved = now
+				c.orderSoon(m)
 				return
 			}
 		}
@@ -264,6 +271,7 @@
 // move at once, batch work may finish.
 func (c *Core) drain(m *sched.Machine) {
 	m.Draining = true
+	c.orderSoon(m)
 	for _, p := range places(m) {
 		if p.Job == nil || p.Exited {
 			continue
@@ -286,6 +294,7 @@
 			for i := range j.Tasks {
 				if q := j.Tasks[i].Place; q != nil && !q.Stopping {
 					q.Stopping, q.Grace = true, j.Spec.Save+1
+					c.orderSoon(q.Machine)
 				}
 			}
 		case j.Service() || j.Spec.Checkpoint > 0:
--- /dev/null
+++ b/internal/controller/orders.go
@@ -0,0 +1,98 @@
+package controller
+
+import (
+	"log/slog"
+
+	"lilacthread/internal/sched"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// Direct orders spare a launch or a stop the wait for the worker's next report.
+// They differ from answers to reports in one thing: an order may be executed
+// whenever it arrives, as long as token and session match. So a launch whose
+// order is not answered holds its place until a report shows it, the session
+// moves on, or the machine is returned.
+
+// orderSoon notes that a machine has something to be told.
+func (c *Core) orderSoon(m *sched.Machine) { c.toOrder = append(c.toOrder, m) }
+
+// sendOrders tells the noted machines. What can't be sent now rides on the
+// answer to the machine's next report.
+func (c *Core) sendOrders() {
+	for _, m := range c.toOrder {
+		c.sendOrder(m)
+	}
+	c.toOrder = c.toOrder[:0]
+}
+
+func (c *Core) sendOrder(m *sched.Machine) {
+	now := c.env.Now()
+	if m.Ordering || c.ordering >= c.cfg.OrderLimit() || !c.serving() || c.machines[m.ID] != m ||
+		!m.Acked || m.Releasing || m.Addr == "" || now-m.Heard > c.fresh() {
+		return
+	}
+	stop, start := c.commands(m, places(m), now, true)
+	if len(stop)+len(start) == 0 {
+		return
+	}
+	c.ordering++
+	m.Ordering = true
+	term, session := c.term, m.Session
+	orders := &wire.Orders{Token: term, Session: session, Commands: append(stop, start...)}
+	c.env.Order(m.Addr, orders, func(o store.Outcome, r *wire.Report) {
+		if !c.lead.Leading() || c.term != term {
+			return
+		}
+		c.ordering--
+		m.Ordering = false
+		if c.machines[m.ID] != m || m.Session != session {
+			return // all that was on it has left
+		}
+		if o == store.Unknown {
+			slog.Info("order without an answer", "machine", m.ID, "launches", len(start))
+			return
+		}
+		for _, cmd := range start {
+			if p := m.Places[cmd.Task]; p != nil && p.Attempt == cmd.Attempt && p.Direct {
+				p.Direct = false
+				p.Sent = o != store.Refused
+			}
+		}
+		if r == nil || o == store.Refused {
+			return
+		}
+		if r.Token > c.term {
+			c.lead.Yield()
+			return
+		}
+		if o != store.OK || r.Session != session || r.Seq <= m.Seq {
+			return
+		}
+		m.OrderSeq = max(m.OrderSeq, r.Seq)
+		// What the answer shows is so; what it lacks may still come with the
+		// answer to a report that is on its way.
+		for i := range r.Tasks {
+			t := &r.Tasks[i]
+			if p := m.Places[t.Task]; p != nil && p.Attempt == t.Attempt {
+				c.observe(m, p, t, c.env.Now())
+			}
+		}
+		c.commit.pump()
+	})
+}
+
+// unanswered reports whether a machine holds a launch whose order was not
+// answered for so long that its session ought to have ended, and whether it
+// holds nothing else.
+func (c *Core) unanswered(m *sched.Machine, now Micros) (some, only bool) {
+	only = m.Busy()
+	for _, p := range m.Places {
+		if p.Direct && now-p.SentAt > 2*c.cfg.WorkerLease() {
+			some = true
+		} else {
+			only = false
+		}
+	}
+	return some, only
+}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -54,6 +54,12 @@
 	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq {
 		return ReportAnswer{Code: 503}
 	}
+	if r.Session == m.Session && r.Seq < m.OrderSeq {
+		// Written before the worker executed an order whose answer is known: what
+		// it lacks may have started since. It only shows that the worker lives.
+		m.Seq, m.Heard, m.Answered = r.Seq, now, now
+		return renew
+	}
 	if !m.Up {
 		m.Up, m.IdleSince = true, now
 		slog.Debug("machine up", "machine", m.ID, "age", (now - m.Since).Seconds())
@@ -61,6 +67,7 @@
 	moved := r.Session > m.Session
 	m.Session, m.Seq, m.Heard, m.Addr = r.Session, r.Seq, now, r.Addr
 	if moved {
+		m.OrderSeq = 0
 		for _, p := range places(m) {
 			if p.Session < r.Session {
 				c.leave(p)
@@ -119,7 +126,7 @@
 			continue
 		}
 		switch {
-		case !p.Sent:
+		case !p.Sent, p.Direct:
 		case p.Seen, p.Inherited, p.Stopping && now-p.SentAt > responseLife+c.margin():
 			c.leave(p)
 		}
@@ -127,7 +134,16 @@
 	if !c.serving() {
 		return []wire.Command{} // a fading leader starts, stops and forgets nothing
 	}
-	stop, start := []wire.Command{}, []wire.Command(nil)
+	stop, start := c.commands(m, held, now, false)
+	return append(append(stop, forget...), start...)
+}
+
+// commands lists what a machine is to stop and to start, in an answer to its
+// report or in a direct order. An order starts only what was never sent; what
+// an unanswered order may yet start is not sent again, lest it start a second
+// time after it was forgotten.
+func (c *Core) commands(m *sched.Machine, held []*sched.Placement, now Micros, direct bool) (stop, start []wire.Command) {
+	stop = []wire.Command{}
 	for _, p := range held {
 		if m.Places[p.Task] != p {
 			continue // has just left
@@ -148,12 +164,12 @@
 				continue
 			}
 			stop = append(stop, wire.Command{Op: wire.OpStop, Task: p.Task, Attempt: p.Attempt, Grace: &grace})
-		case p.Committed && !p.Seen && p.Session == m.Session && !p.Inherited:
-			p.Sent, p.SentAt = true, now
+		case p.Committed && !p.Seen && p.Session == m.Session && !p.Inherited && !p.Direct && !(direct && p.Sent):
+			p.Sent, p.SentAt, p.Direct = true, now, direct
 			start = append(start, wire.Command{Op: wire.OpStart, Task: p.Task, Attempt: p.Attempt})
 		}
 	}
-	return append(append(stop, forget...), start...)
+	return stop, start
 }
 
 // stray deals with a reported task that holds no place here: an exited one is
@@ -183,7 +199,7 @@
 
 // observe takes in what a report says of a placed task.
 func (c *Core) observe(m *sched.Machine, p *sched.Placement, t *wire.TaskReport, now Micros) {
-	p.Seen, p.State = true, t.State
+	p.Seen, p.Direct, p.State = true, false, t.State
 	j := p.Job
 	if t.State == wire.TaskRunning || t.State == wire.TaskSaving || t.State == wire.TaskWaiting ||
 		t.State == wire.TaskExited && t.Cause == wire.CauseDone {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -389,6 +389,11 @@
 		if then != nil {
 			then()
 		}
+		for i := range j.Tasks {
+			if p := j.Tasks[i].Place; p != nil && p.Machine != nil && !p.Exited {
+				c.orderSoon(p.Machine)
+			}
+		}
 		c.archive(j)
 	}))
 	c.commit.pump()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,8 @@
 	"lilacthread/internal/policy"
 	"lilacthread/internal/server"
 	"lilacthread/internal/store"
+	"lilacthread/internal/worker"
+	"lilacthread/wire"
 )
 
 // Node is one running controller.
@@ -29,6 +31,7 @@
 	state *store.HTTP
 	cloud *cloud.HTTP
 	links *peer.Links
+	work  *worker.HTTP
 }
 
 // reserved sockets are kept back for the state service, the cloud and peers.
@@ -52,6 +55,7 @@
 	n.state = store.NewHTTP(cfg.Endpoints.State, n.Post)
 	n.cloud = cloud.NewHTTP(cfg.Endpoints.Cloud, n.Post)
 	n.links = peer.NewLinks(peers, n.Post)
+	n.work = worker.NewHTTP(n.Post)
 	n.core = controller.New(n, cfg, pol, rand.Uint64())
 	failed := make(chan error, 2)
 	go func() {
@@ -59,7 +63,7 @@
 			n.Post(func() { n.core.OnPeer(m, reply) })
 		})
 	}()
-	go func() { failed <- server.New(n, cfg.Params.Resources.FDLimit-reserved).Serve(ln) }()
+	go func() { failed <- server.New(n, cfg.Params.Resources.FDLimit-cfg.OrderLimit()-reserved).Serve(ln) }()
 	n.Post(n.core.Start)
 	for {
 		select {
@@ -118,6 +122,11 @@
 	n.links.Ask(name, m, timeout.Duration(), done)
 }
 
+// Order sends commands straight to a worker.
+func (n *Node) Order(addr string, o *wire.Orders, done func(store.Outcome, *wire.Report)) {
+	n.work.Order(addr, o, done)
+}
+
 // State is the state service.
 func (n *Node) State() store.Service { return n.state }
 
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -33,6 +33,13 @@
 	}}
 }
 
+// NewOnce makes a client that uses a connection for one call only.
+func NewOnce(addr string) *Client {
+	c := New(addr)
+	c.http.Transport.(*http.Transport).DisableKeepAlives = true
+	return c
+}
+
 // ErrNotSent means that no connection was made, so nothing was executed.
 var ErrNotSent = errors.New("not sent")
 
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -100,6 +100,7 @@
 
 	Committed bool // written ahead: a launch may be sent
 	Sent      bool // a launch may have been sent
+	Direct    bool // by an order that is not answered: only the session's end proves absence
 	SentAt    Micros
 	Seen      bool // reported under our token
 	Inherited bool // from an earlier leader: an acknowledged report proves absence
@@ -122,8 +123,10 @@
 
 	Session  uint64
 	Seq      uint64
-	Up       bool // has reported
-	Acked    bool // has acknowledged our token
+	OrderSeq uint64 // of the newest answer to an order in this session
+	Ordering bool   // an order is under way
+	Up       bool   // has reported
+	Acked    bool   // has acknowledged our token
 	Heard    Micros
 	Answered Micros // receipt of the last report that we answered
 	Notice   Micros // when the cloud takes it; 0: no notice
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -25,8 +25,11 @@
 func (cutOff) Wall() clock.Micros                                              { return 0 }
 func (cutOff) After(clock.Micros, func())                                      {}
 func (cutOff) Ask(_ string, _ *peer.Msg, _ clock.Micros, done func(*peer.Msg)) { done(nil) }
-func (cutOff) State() store.Service                                            { return noState{} }
-func (cutOff) Cloud() controller.Cloud                                         { return noCloud{} }
+func (cutOff) Order(_ string, _ *wire.Orders, done func(store.Outcome, *wire.Report)) {
+	done(store.Refused, nil)
+}
+func (cutOff) State() store.Service    { return noState{} }
+func (cutOff) Cloud() controller.Cloud { return noCloud{} }
 
 type noState struct{}
 
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -288,6 +288,13 @@
 		return func() { w.State.Late[s.node(a.word(0)).name] = span("by", 10) }
 	case "lost-answer":
 		return func() { w.State.Lost[s.node(a.word(0)).name] = true }
+	case "late-order":
+		return func() { w.LateOrder = span("by", 10) }
+	case "slow-reports":
+		return func() {
+			w.SlowReports = span("by", 2)
+			w.After(span("for", 2), func() { w.SlowReports = 0 })
+		}
 	case "late-rent":
 		return func() { w.Cloud.LateRent = span("by", 20) }
 	case "no-boot":
@@ -362,7 +369,7 @@
 		submit(t)
 		victim := fmt.Sprintf("of=req-%06d", 1+rng.IntN(jobs))
 		span := 2 + rng.IntN(20)
-		switch rng.IntN(14) {
+		switch rng.IntN(16) {
 		case 0:
 			line(t, "kill leader for=%d", span)
 		case 1:
@@ -391,6 +398,10 @@
 			line(t, "lost-answer leader")
 		case 13:
 			line(t, "take %s", victim)
+		case 14:
+			line(t, "late-order by=%d", span)
+		case 15:
+			line(t, "slow-reports by=%d for=%d", 1+rng.IntN(3), span)
 		}
 	}
 }
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"lilacthread/internal/store"
 	"lilacthread/wire"
 )
 
@@ -144,43 +145,56 @@
 		next(sec)
 	}
 	rep := x.snapshot()
+	slow := w.SlowReports
 	w.call(x.id, n.name, 4*sec, func(respond func(func())) {
-		if !n.Up() {
-			return
-		}
-		// Through the real codec.
-		got, err := wire.DecodeReport(wire.Encode(rep))
-		if err != nil {
-			panic(err)
-		}
-		a := n.core.OnReport(got)
-		respond(func() {
-			x.do(func() {
-				switch a.Code {
-				case 200:
-					if a.Body.Token >= x.token && a.Body.Token > 0 && session == x.session && w.now-sent <= 4*sec {
-						x.token = a.Body.Token
-						x.renewed = max(x.renewed, sent)
-						x.run(a.Body.Commands)
-					}
-					next(every*3/4 + Micros(w.rng.IntN(int(every/2))))
-				case 421:
-					for i, o := range w.Nodes {
-						if o.name == a.Leader && i != x.node {
-							x.node = i
-							next(100 * ms)
-							return
+		w.After(slow, func() {
+			if !n.Up() {
+				return
+			}
+			// Through the real codec.
+			got, err := wire.DecodeReport(wire.Encode(rep))
+			if err != nil {
+				panic(err)
+			}
+			a := n.core.OnReport(got)
+			respond(func() {
+				x.do(func() {
+					switch a.Code {
+					case 200:
+						if a.Body.Token >= x.token && a.Body.Token > 0 && session == x.session && w.now-sent <= 4*sec {
+							x.token = a.Body.Token
+							x.renewed = max(x.renewed, sent)
+							x.run(a.Body.Commands)
 						}
+						next(every*3/4 + Micros(w.rng.IntN(int(every/2))))
+					case 421:
+						for i, o := range w.Nodes {
+							if o.name == a.Leader && i != x.node {
+								x.node = i
+								next(100 * ms)
+								return
+							}
+						}
+						other()
+					default:
+						other()
 					}
-					other()
-				default:
-					other()
-				}
+				})
 			})
 		})
 	}, func() { x.do(other) })
 }
 
+// orders executes commands that came straight from a controller.
+func (x *Worker) orders(o *wire.Orders) (store.Outcome, *wire.Report) {
+	if o.Token < x.token || o.Session != x.session {
+		return store.Failed, x.snapshot()
+	}
+	x.token = o.Token
+	x.run(o.Commands)
+	return store.OK, x.snapshot()
+}
+
 func (x *Worker) run(cmds []wire.Command) {
 	for _, c := range cmds {
 		key := c.Task + "#" + itoa(c.Attempt)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -71,8 +71,12 @@
 	Cloud  *Cloud
 	Rules  *Checker
 	Users  map[string]*User
-	cuts   map[[2]string]Cut
-	held   map[[2]string][]func()
+	// The next order is executed this much later, with no answer.
+	LateOrder Micros
+	// Reports are under way for this much longer.
+	SlowReports Micros
+	cuts        map[[2]string]Cut
+	held        map[[2]string][]func()
 }
 
 // NewWorld makes a world with the given number of controllers.
@@ -239,6 +243,35 @@
 	}, e.alive(func() { done(nil) }))
 }
 
+func (e *env) Order(addr string, o *wire.Orders, done func(store.Outcome, *wire.Report)) {
+	w := e.n.w
+	body := wire.Encode(o)
+	late := w.LateOrder
+	w.LateOrder = 0
+	w.call(e.n.name, addr, 2*sec, func(respond func(func())) {
+		x := w.Cloud.Machines[addr]
+		if x == nil || !x.up {
+			return
+		}
+		w.After(late, func() {
+			x.do(func() {
+				got := new(wire.Orders)
+				if err := wire.Decode(body, got); err != nil {
+					panic(err)
+				}
+				outcome, answer := x.orders(got)
+				report, err := wire.DecodeReport(wire.Encode(answer))
+				if err != nil {
+					panic(err)
+				}
+				if late == 0 {
+					respond(e.alive(func() { done(outcome, report) }))
+				}
+			})
+		})
+	}, e.alive(func() { done(store.Unknown, nil) }))
+}
+
 func (w *World) node(name string) *Node {
 	for _, n := range w.Nodes {
 		if n.name == name {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -126,6 +126,14 @@
 	Commands []Command `msgpack:"orders"`
 }
 
+// Orders are commands sent straight to a worker; it executes them only if both
+// its session and its highest token match.
+type Orders struct {
+	Token    uint64    `msgpack:"baton"`
+	Session  uint64    `msgpack:"spin"`
+	Commands []Command `msgpack:"orders"`
+}
+
 // Redirect sends a worker to the node in charge.
 type Redirect struct {
 	ReportTo string `msgpack:"foreman,omitempty"`
