--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -109,7 +109,8 @@
 	lastReport  Micros
 	ordering    int // orders under way
 	toOrder     []*sched.Machine
-	moved       Micros // when a replica was last moved
+	moved       Micros  // up to when moves of replicas are accounted for
+	moves       float64 // replicas that may be moved now
 }
 
 type peerInfo struct {
@@ -293,7 +294,7 @@
 func (c *Core) elected(term uint64) {
 	now := c.env.Now()
 	c.term, c.electedAt, c.loaded = term, now, false
-	c.lastReport, c.moved = now, now
+	c.lastReport, c.moved, c.moves = now, now, 0
 	c.jobs = map[string]*sched.Job{}
 	c.finals = map[string]wire.JobStatus{}
 	c.finalsOrder = nil
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -156,9 +156,11 @@
 	c.release()
 }
 
-// consolidate empties machines that the others can do without. Replicas move
-// one at a time, to a place that is free and warm, so that at any moment hardly
-// any is away; batch work finishes where it is.
+// consolidate empties machines that the others can do without. Replicas move a
+// few at a time, to places that are free and warm, so that at any moment hardly
+// any is away; batch work finishes where it is. Both paces follow the size of
+// the fleet: a fixed one left hundreds of CPUs idle for minutes where hundreds
+// of machines had to empty.
 func (c *Core) consolidate(in *fleet.Input, now Micros) {
 	waiting := len(c.unplaced) > 0
 	retiring := 0
@@ -170,46 +172,57 @@
 			retiring++
 		}
 	}
+	replicas := 0
+	for _, j := range c.jobs {
+		if j.Service() {
+			replicas += j.Placed
+		}
+	}
+	c.moves = min(c.moves+float64(replicas)*float64(now-c.moved)/float64(c.pol.MovePeriod), 1+float64(replicas)/100)
+	c.moved = now
 	if waiting || now-c.electedAt < 2*c.cfg.WorkerLease() {
 		return
 	}
-	if retiring < maxRetiring {
-		if m := in.Retire(c.fresh()); m != nil {
-			m.Retiring = true
-			slog.Debug("retiring machine", "machine", m.ID)
+	for limit := 2 + int(c.pol.Emptying*float64(len(c.order))); retiring < limit; retiring++ {
+		m := in.Retire(c.fresh())
+		if m == nil {
+			break
 		}
+		m.Retiring = true
+		slog.Debug("retiring machine", "machine", m.ID)
 	}
-	if now-c.moved < c.pol.MoveEvery {
-		return
-	}
+	claimed := map[*sched.Machine]sched.Need{}
 	for _, m := range c.order {
 		if !m.Retiring || m.Releasing {
 			continue
 		}
 		for _, p := range places(m) {
-			if p.Job != nil && p.Job.Service() && p.Running > 0 && now-p.Running > settleFor && !p.Stopping && c.refuge(p) {
+			if c.moves < 1 {
+				return
+			}
+			if p.Job != nil && p.Job.Service() && p.Running > 0 && now-p.Running > settleFor && !p.Stopping &&
+				p.Job.Placed == len(p.Job.Tasks) && c.refuge(p, claimed) {
 				slog.Debug("moving replica", "task", p.Task, "from", m.ID)
 				p.Stopping, p.Grace = true, 0
-				c.moved = now
 				c.orderSoon(m)
-				return
+				c.moves--
 			}
 		}
 	}
 }
 
-const (
-	maxRetiring = 2
-	settleFor   = 40 * clock.Second // a replica that just started is left alone
-)
+// settleFor is how long a replica that just started is left alone.
+const settleFor = 40 * clock.Second
 
-// refuge reports whether a machine has free room and the image for a replica.
-func (c *Core) refuge(p *sched.Placement) bool {
+// refuge reports whether a machine has free room, not yet claimed, and the
+// image for a replica, and claims it.
+func (c *Core) refuge(p *sched.Placement, claimed map[*sched.Machine]sched.Need) bool {
 	held := p.Job.Zones(p)
 	for _, m := range c.order {
 		_, warm := m.Images[p.Image]
-		if warm && m.Usable(c.env.Now(), c.fresh()) && m.Errors == 0 && p.Need.Fits(m.Room()) &&
+		if warm && m.Usable(c.env.Now(), c.fresh()) && m.Errors == 0 && p.Need.Fits(m.Room().Sub(claimed[m])) &&
 			p.Job.Allows(m.Type, m.Zone, m.Spot) && sched.ZoneAllows(p.Job, held, m.Zone) {
+			claimed[m] = claimed[m].Add(p.Need)
 			return true
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -399,32 +399,47 @@
 	return m.Type.CPUs - m.Production()
 }
 
-// Retire picks a machine to empty: one whose tasks would all fit into the room
-// of the others of its kind, with the headroom for services to spare. It is the
-// one that costs most for what it holds; nil if there is none.
+// Retire picks a machine to empty: one whose tasks, with those of the machines
+// that are being emptied already, would all fit into the room of the others,
+// with the headroom for services to spare. It is the one that costs most for
+// what it holds; nil if there is none.
 func (in *Input) Retire(fresh sched.Micros) *sched.Machine {
-	total := map[bool]float64{} // free CPUs, by spot
+	// What is free, all in all and on ordinary machines, beyond what must move.
+	var all, ordinary float64
 	for _, m := range in.Machines {
-		if m.Usable(in.Now, fresh) {
-			total[m.Spot] += m.Room().CPUs
+		room := m.Room().CPUs
+		switch {
+		case m.Retiring && !m.Releasing:
+			all -= m.Type.CPUs - room
+			ordinary -= m.Production()
+		case m.Usable(in.Now, fresh):
+			all += room
+			if !m.Spot {
+				ordinary += room
+			}
 		}
 	}
 	spare := in.Spare(nil)
 	var best *sched.Machine
 	bestCost := 0.0
 	for _, m := range in.Machines {
-		if !m.Usable(in.Now, fresh) || !m.Busy() || m.Spot {
+		if !m.Usable(in.Now, fresh) || !m.Busy() {
 			continue
 		}
 		room := m.Room().CPUs
 		used := m.Type.CPUs - room
-		services := m.Production()
 		// Batch work finishes where it is; its successors need room elsewhere.
-		if total[false]+total[true]-room < used+in.Headroom || total[false]-room < services ||
-			spare-in.spare(m) < services+in.Headroom {
+		if all-room < used+in.Headroom {
 			continue
 		}
-		if cost := m.Type.Price / (used + 1); cost > bestCost {
+		price := m.Type.SpotPrice
+		if !m.Spot {
+			if ordinary-room < m.Production() || spare-in.spare(m) < m.Production()+in.Headroom {
+				continue
+			}
+			price = m.Type.Price
+		}
+		if cost := price / (used + 1); cost > bestCost {
 			best, bestCost = m, cost
 		}
 	}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -19,4 +19,5 @@
 sick_errors = 2           # failures in a row before a machine is returned
 refused_s = 20.0          # a refused type, zone and kind is tried again after
 spot_wait_s = 5.0         # expected wait that justifies a spot machine
-move_every_s = 10.0       # one replica at most is moved in this time
+move_period_s = 600.0     # a replica moves once in this time on average at most
+emptying = 0.05           # share of the machines, and two, that may empty at once
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -30,7 +30,8 @@
 	SickErrors    int
 	Refused       clock.Micros
 	SpotWait      clock.Micros
-	MoveEvery     clock.Micros
+	MovePeriod    clock.Micros
+	Emptying      float64
 }
 
 // Default returns the embedded policy.
@@ -77,7 +78,8 @@
 		SickErrors:    int(r.number("sick_errors", 1, 100)),
 		Refused:       r.seconds("refused_s", 1, 3600),
 		SpotWait:      r.seconds("spot_wait_s", 0, 3600),
-		MoveEvery:     r.seconds("move_every_s", 0.5, 1e6),
+		MovePeriod:    r.seconds("move_period_s", 1, 1e7),
+		Emptying:      r.number("emptying", 0, 1),
 	}
 	return p, r.err
 }
