Free places go first to waiting jobs whose image is there

Ruled out: room that stood idle (none until 500 s), the cloud (all capacity rented). Change: jobs of one level first take the places that are warm for them, past jobs at most a minute older; then the rest is filled in order, so no room stays empty.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -429,7 +429,7 @@
 	}
 	out := sched.Plan(&sched.Input{
 		Now: now, Fresh: c.fresh(), Jobs: pending, Machines: c.order, Teams: c.teams,
-		Rates: c.rates, Attempt: c.attempt,
+		Rates: c.rates, Attempt: c.attempt, Patience: c.pol.Patience,
 		MaxTasks: int(c.cfg.Params.State.ValueKB * 1024 / 250),
 	})
 	for _, pl := range out.Launch {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -32,6 +32,7 @@
 	SpotWait      clock.Micros
 	MovePeriod    clock.Micros
 	Emptying      float64
+	Patience      clock.Micros
 }
 
 // Default returns the embedded policy.
@@ -80,6 +81,7 @@
 		SpotWait:      r.seconds("spot_wait_s", 0, 3600),
 		MovePeriod:    r.seconds("move_period_s", 1, 1e7),
 		Emptying:      r.number("emptying", 0, 1),
+		Patience:      r.seconds("patience_s", 0, 1e6),
 	}
 	return p, r.err
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -20,6 +20,7 @@
 	Rates    map[string]float64 // smoothed fetch rate by type, GB a second
 	Attempt  func() uint64      // hands out attempt numbers
 	MaxTasks int                // places that one machine's record can hold
+	Patience Micros             // how much older a job may be that is passed for an image's sake
 }
 
 // Unplaced is demand that found no room.
@@ -117,6 +118,7 @@
 
 	// Of the job being placed: what a task of it costs on each machine. All its
 	// tasks are alike, so a place changes the cost of its own machine only.
+	warm  bool // only machines that have its image, or are fetching it
 	cost  []float64
 	full  []bool               // the cost lacks that of making room
 	taken map[int][]*Placement // who would be stopped to make room
@@ -141,25 +143,63 @@
 	}
 	p.cost, p.full = make([]float64, len(p.use)), make([]bool, len(p.use))
 	Order(in.Jobs, in.Teams, in.Now)
-	for _, j := range in.Jobs {
-		if !j.Active() || len(j.Queue) == 0 || in.Now < j.HoldUntil {
-			continue
+	jobs := slices.DeleteFunc(slices.Clone(in.Jobs), func(j *Job) bool {
+		return !j.Active() || len(j.Queue) == 0 || in.Now < j.HoldUntil
+	})
+	for len(jobs) > 0 {
+		n := 1
+		for n < len(jobs) && jobs[0].equals(jobs[n], in.Now) {
+			n++
+		}
+		p.placeLevel(jobs[:n])
+		jobs = jobs[n:]
+	}
+	return p.out
+}
+
+// equals reports whether two jobs stand on the same level of urgency and
+// priority, so that only their start and rank order them.
+func (j *Job) equals(o *Job, now Micros) bool {
+	return j.Priority == o.Priority && j.urgency(now) == o.urgency(now)
+}
+
+// placeLevel places jobs of one level. All room is used in the end, but first
+// each takes the places where its image is, even past jobs that were submitted
+// a little earlier and would have to fetch theirs there: those get the next
+// place that is warm for them, and the machines spend less time fetching.
+func (p *pass) placeLevel(jobs []*Job) {
+	if jobs[0].Priority < wire.PriorityHigh {
+		oldest := clock.Forever // submission of the first job that is passed over
+		for _, j := range jobs {
+			if j.Gang() || j.Submitted > oldest+p.Patience {
+				continue
+			}
+			p.placeEach(j, true)
+			if len(j.Queue) > 0 {
+				oldest = min(oldest, j.Submitted)
+			}
 		}
-		if j.Gang() {
+	}
+	for _, j := range jobs {
+		switch {
+		case len(j.Queue) == 0:
+		case j.Gang():
 			p.placeGang(j)
-		} else {
-			p.placeEach(j)
+		default:
+			p.placeEach(j, false)
 		}
 	}
-	return p.out
 }
 
-func (p *pass) placeEach(j *Job) {
+// placeEach places a job's tasks one by one as long as there is room, only
+// where its image is if warm is set.
+func (p *pass) placeEach(j *Job, warm bool) {
 	team := p.Teams[j.Spec.Team]
 	if !team.Allows(j.Need()) {
 		return
 	}
 	held := j.Zones(nil)
+	p.warm = warm
 	p.scoreAll(j, "")
 	for len(j.Queue) > 0 {
 		if !team.Allows(j.Need()) {
@@ -178,7 +218,7 @@
 		}
 		p.score(j, i)
 	}
-	if n := len(j.Queue); n > 0 {
+	if n := len(j.Queue); n > 0 && !warm {
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
 		if j.Priority > wire.PriorityLow && j.Priority < wire.PriorityProduction {
 			p.makeRoom(j, n)
@@ -279,7 +319,11 @@
 		p.full[i] = true
 	}
 	if p.allowed(j, m) {
-		p.cost[i] = p.delay(j, m) + p.packing(j, i)
+		delay := p.delay(j, m)
+		if p.warm && delay >= j.Spec.ImageGB/p.Rates[m.Type.Name] {
+			return
+		}
+		p.cost[i] = delay + p.packing(j, i)
 	}
 }
 
@@ -544,6 +588,7 @@
 	saved := slices.Clone(p.room)
 	defer func() { p.room = saved }()
 	held := map[string]int{}
+	p.warm = false
 	p.scoreAll(j, zone)
 	var picks []int
 	for range n {
