--- /dev/null
+++ b/internal/fleet/size_test.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/sched"
+	"lilacthread/wire"
+)
+
+var catalog = []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, Price: 1, SpotPrice: 0.2, Boot: 50, Zones: []string{"a"}}}
+
+func waiting(id, kind string, priority, tasks int, cpus float64) *sched.Job {
+	return &sched.Job{ID: id, Priority: priority, Deadline: clock.Forever, Estimate: 60 * clock.Second,
+		Spec:  &wire.Job{ID: id, Kind: kind, CPUs: cpus, MemoryGB: 2, Tasks: tasks, Spot: kind == wire.KindArray},
+		Tasks: make([]sched.Task, tasks)}
+}
+
+// running makes a machine that runs tasks of a job of its own.
+func running(i int, spot bool, tasks int, cpus float64, kind string) *sched.Machine {
+	m := &sched.Machine{ID: fmt.Sprintf("m-%06d", i), Type: &catalog[0], Zone: "a", Spot: spot, Up: true, Acked: true,
+		Places: map[string]*sched.Placement{}, Images: map[string]sched.Micros{}, Sizes: map[string]float64{}}
+	priority := wire.PriorityLow
+	if kind == wire.KindService {
+		priority = wire.PriorityProduction
+	}
+	j := waiting(fmt.Sprint("on-", i), kind, priority, max(tasks, 1), cpus)
+	for k := range tasks {
+		sched.Attach(&sched.Placement{Job: j, Index: k, Task: wire.TaskID(j.ID, k), Machine: m, Need: j.Need(),
+			Priority: priority, Running: sched.Micros(1 + i)}, nil)
+	}
+	return m
+}
+
+func bigInput() *Input {
+	in := &Input{Now: 100 * clock.Second, Catalog: catalog, Refused: map[Kind]sched.Micros{}, SpotWait: 5 * clock.Second}
+	for i := range 500 {
+		in.Machines = append(in.Machines, running(i, i%2 == 0, 4, 4, wire.KindArray))
+	}
+	for i := range 100 {
+		kind, priority := wire.KindArray, wire.PriorityNormal
+		if i < 20 {
+			kind, priority = wire.KindService, wire.PriorityProduction
+		}
+		in.Unplaced = append(in.Unplaced, sched.Unplaced{Job: waiting(fmt.Sprint("w-", i), kind, priority, 50, 4), Count: 50})
+	}
+	return in
+}
+
+// TestLooksAtAllThatWaits guards against batch work that gets no machines until
+// hundreds of services are placed: a bound on the tasks looked at once left it
+// waiting for a boot and more, found on the first grown days. The cost stays
+// near the number of waiting tasks.
+func TestLooksAtAllThatWaits(t *testing.T) {
+	in := bigInput()
+	in.Machines = nil
+	b := newBuyer(in)
+	counts := map[bool]int{}
+	for _, buy := range b.plan() {
+		counts[buy.Kind.Spot] = buy.Count
+	}
+	if counts[true] == 0 || counts[false] == 0 {
+		t.Errorf("rents %v, want spot machines for batch and ordinary ones for services", counts)
+	}
+	in = bigInput()
+	b = newBuyer(in)
+	b.plan()
+	if limit := 10 * 100 * 50; b.looked > limit {
+		t.Errorf("looked at %d bins and frees, limit %d", b.looked, limit)
+	}
+}
+
+// TestRetire covers which machine is emptied, if any.
+func TestRetire(t *testing.T) {
+	const batch, service = wire.KindArray, wire.KindService
+	for name, c := range map[string]struct {
+		machines []*sched.Machine
+		headroom float64
+		want     int // -1: none
+	}{
+		"what the others can take":             {[]*sched.Machine{running(0, false, 3, 4, batch), running(1, false, 1, 4, batch)}, 0, 1},
+		"none without room elsewhere":          {[]*sched.Machine{running(0, false, 4, 4, batch), running(1, false, 1, 4, batch)}, 0, -1},
+		"none when services need the room":     {[]*sched.Machine{running(0, false, 3, 4, batch), running(1, false, 1, 4, batch)}, 16, -1},
+		"replicas do not go to spot":           {[]*sched.Machine{running(0, true, 1, 4, batch), running(1, false, 1, 4, service)}, 0, 0},
+		"spot machines empty too":              {[]*sched.Machine{running(0, true, 1, 4, batch), running(1, true, 2, 4, batch)}, 0, 0},
+		"ordinary before spot, which is cheap": {[]*sched.Machine{running(0, true, 1, 4, batch), running(1, false, 1, 4, batch)}, 0, 1},
+	} {
+		in := &Input{Catalog: catalog, Machines: c.machines, Headroom: c.headroom}
+		got := -1
+		if m := in.Retire(clock.Second); m != nil {
+			for i := range c.machines {
+				if c.machines[i] == m {
+					got = i
+				}
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: empties %d, want %d", name, got, c.want)
+		}
+	}
+	// What is being emptied needs the room of the others too.
+	in := &Input{Catalog: catalog}
+	for i := range 3 {
+		in.Machines = append(in.Machines, running(i, false, 2, 4, batch))
+	}
+	in.Retire(clock.Second).Retiring = true
+	if m := in.Retire(clock.Second); m != nil {
+		t.Errorf("empties %s as well, though the third has not the room for both", m.ID)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for b.Loop() {
+		Plan(bigInput())
+	}
+}
--- /dev/null
+++ b/internal/sched/size_test.go
@@ -0,0 +1,145 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"lilacthread/internal/clock"
+	"lilacthread/wire"
+)
+
+// bigInput is a deployment of many machines, a third of them full, with
+// services and thousands of waiting tasks.
+func bigInput(machines, jobs, tasks int) *Input {
+	typ := &wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64, CacheGB: 40, Price: 1, SpotPrice: 0.2}
+	in := &Input{Now: 100 * clock.Second, Fresh: 3 * clock.Second, Teams: map[string]*Team{"t": {}},
+		Rates: map[string]float64{"m": 0.3}, MaxTasks: 100, Patience: clock.Forever}
+	attempts := uint64(0)
+	in.Attempt = func() uint64 { attempts++; return attempts }
+	newJob := func(id, kind string, priority, tasks int, cpus float64) *Job {
+		j := job(id, priority, 10, 50, 0)
+		j.Spec.Kind, j.Spec.Tasks, j.Spec.CPUs, j.Spec.MemoryGB = kind, tasks, cpus, 2
+		j.Spec.Image, j.Spec.ImageGB, j.Spec.Spot = "img-"+id[len(id)-1:], 2, kind == wire.KindArray
+		j.Tasks, j.FailedOn = make([]Task, tasks), map[string]bool{}
+		for i := range tasks {
+			j.Queue = append(j.Queue, int32(i))
+		}
+		return j
+	}
+	old := newJob("old0", wire.KindArray, wire.PriorityLow, machines*4, 4)
+	for i := range machines {
+		m := &Machine{ID: fmt.Sprintf("m-%06d", i), Type: typ, Zone: "a", Spot: i%2 == 0, Up: true, Acked: true,
+			Heard: in.Now, Places: map[string]*Placement{}, Images: map[string]Micros{}, Sizes: map[string]float64{}}
+		in.Machines = append(in.Machines, m)
+		for k := 0; i%3 == 0 && k < 4; k++ {
+			index := 4*i + k
+			Attach(&Placement{Job: old, Index: index, Task: wire.TaskID(old.ID, index), Machine: m, Need: old.Need(),
+				Team: "t", Priority: old.Priority, Image: old.Spec.Image, Running: 1}, in.Teams)
+		}
+	}
+	for i := range jobs {
+		kind, priority, cpus := wire.KindArray, wire.PriorityLow+i%2, 4.0
+		if i%4 == 0 {
+			kind, priority, cpus = wire.KindService, wire.PriorityProduction, 2
+		}
+		in.Jobs = append(in.Jobs, newJob(fmt.Sprintf("j%d", i), kind, priority, tasks, cpus))
+	}
+	return in
+}
+
+// TestPassCost keeps a pass honest at 500 machines by counting work: a job is
+// weighed against a machine at most twice, and once more for each task placed
+// or machine that would have to be cleared; not once for each task.
+func TestPassCost(t *testing.T) {
+	const machines, jobs, tasks = 500, 100, 50
+	in := bigInput(machines, jobs, tasks)
+	out := Plan(in)
+	if limit := 2*machines*jobs + 3*len(out.Launch); out.Looked > limit {
+		t.Errorf("weighed %d times, limit %d", out.Looked, limit)
+	}
+	if len(out.Launch) < 1000 || len(out.Unplaced) == 0 {
+		t.Errorf("%d launches, %d jobs unplaced: not the case meant", len(out.Launch), len(out.Unplaced))
+	}
+}
+
+func BenchmarkPass(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		in := bigInput(500, 100, 50)
+		b.StartTimer()
+		Plan(in)
+	}
+}
+
+// TestImagesFirst: a free place goes to the job whose image is there, unless
+// the job before it has waited much longer; no room stays empty.
+func TestImagesFirst(t *testing.T) {
+	for _, c := range []struct {
+		patience Micros
+		rooms    int
+		want     []string
+	}{
+		{30 * clock.Second, 1, []string{"younger/0"}},
+		{5 * clock.Second, 1, []string{"older/0"}},
+		{30 * clock.Second, 2, []string{"younger/0", "older/0"}},
+	} {
+		in := bigInput(1, 0, 0)
+		m := in.Machines[0]
+		for _, p := range m.Places {
+			Detach(p, in.Teams)
+		}
+		m.Images["warm"] = 1
+		m.Type.CPUs = 4 * float64(c.rooms)
+		in.Patience = c.patience
+		for i, id := range []string{"older", "younger"} {
+			j := job(id, wire.PriorityLow, Micros(10+20*i), 50, 0)
+			j.Spec.CPUs, j.Spec.Tasks, j.Spec.ImageGB, j.Spec.Spot = 4, 1, 2, true
+			j.Spec.Image = []string{"cold", "warm"}[i]
+			j.Tasks, j.Queue = make([]Task, 1), []int32{0}
+			in.Jobs = append(in.Jobs, j)
+		}
+		out := Plan(in)
+		var got []string
+		for _, p := range out.Launch {
+			got = append(got, p.Task)
+		}
+		if fmt.Sprint(got) != fmt.Sprint(c.want) {
+			t.Errorf("patience %v, %d rooms: placed %v, want %v", c.patience.Seconds(), c.rooms, got, c.want)
+		}
+	}
+}
+
+// TestChoose covers what decides between two machines.
+func TestChoose(t *testing.T) {
+	warm := func(m *Machine) { m.Images["img"] = 1 }
+	spot := func(m *Machine) { m.Spot = true }
+	fuller := func(m *Machine) {
+		task := fmt.Sprint("x/", len(m.Places))
+		Attach(&Placement{Task: task, Machine: m, Need: Need{CPUs: 8}, Running: 1}, nil)
+	}
+	failing := func(m *Machine) { m.Errors = 1 }
+	for name, c := range map[string]struct{ first, second func(*Machine) }{
+		"warm before cold":              {func(*Machine) {}, warm},
+		"spot before ordinary":          {func(*Machine) {}, spot},
+		"fuller before emptier":         {func(*Machine) {}, fuller},
+		"sound before failing":          {failing, func(*Machine) {}},
+		"room before none, though warm": {func(m *Machine) { warm(m); fuller(m); fuller(m) }, func(*Machine) {}},
+	} {
+		in := bigInput(0, 0, 0)
+		typ := &wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64}
+		for i, set := range []func(*Machine){c.first, c.second} {
+			m := &Machine{ID: fmt.Sprint("m-", i), Type: typ, Zone: "a", Up: true, Acked: true, Heard: in.Now,
+				Places: map[string]*Placement{}, Images: map[string]Micros{}, Sizes: map[string]float64{}}
+			in.Machines = append(in.Machines, m)
+			set(m)
+		}
+		j := job("j", wire.PriorityNormal, 10, 50, 0)
+		j.Spec.CPUs, j.Spec.Tasks, j.Spec.Image, j.Spec.ImageGB, j.Spec.Spot = 4, 1, "img", 2, true
+		j.Tasks, j.Queue = make([]Task, 1), []int32{0}
+		in.Jobs = []*Job{j}
+		out := Plan(in)
+		if len(out.Launch) != 1 || out.Launch[0].Machine != in.Machines[1] {
+			t.Errorf("%s: placed %v", name, out.Launch)
+		}
+	}
+}
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -285,7 +285,10 @@
 			}
 		}
 	case "late-txn":
-		return func() { w.State.Late[s.node(a.word(0)).name] = span("by", 10) }
+		return func() {
+			w.State.Late[s.node(a.word(0)).name] = span("by", 10)
+			w.State.LateKeys = a.pairs["keys"]
+		}
 	case "lost-answer":
 		return func() { w.State.Lost[s.node(a.word(0)).name] = true }
 	case "late-order":
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"sort"
 	"strings"
 
@@ -23,6 +24,7 @@
 	Outage   bool
 	Refuse   map[string]bool   // nodes that get 503
 	Late     map[string]Micros // nodes whose next transaction is applied this much later, with no answer
+	LateKeys string            // of those, only transactions that write a key with this prefix
 	Lost     map[string]bool   // nodes whose next transaction is applied, with no answer
 }
 
@@ -218,7 +220,8 @@
 
 func (c *stateClient) Txn(t *wire.Txn, done func(store.Outcome, *wire.TxnAnswer)) {
 	s, name := c.state(), c.e.n.name
-	if d, ok := s.Late[name]; ok && len(t.Then) > 0 {
+	hit := slices.ContainsFunc(t.Then, func(ch wire.Change) bool { return strings.HasPrefix(ch.Put+ch.Delete, s.LateKeys) })
+	if d, ok := s.Late[name]; ok && hit {
 		delete(s.Late, name)
 		c.e.n.w.After(d, func() { s.txn(t) })
 		c.e.After(1500*ms, func() { done(store.Unknown, &wire.TxnAnswer{}) })
