A progress record stays within value_kb whatever the job's size

With value_kb under 17 the record of a job of 100,000 tasks would be refused for ever and hold up all others. What does not fit is forgotten on a takeover and started again, which exits with its result at once.

--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -96,11 +96,15 @@
 
 func (c *Core) saveProgress(j *sched.Job, done func()) {
 	c.commit.put(jobPrefix+j.ID+progressTail, func() []byte {
-		return wire.Encode(progressOf(j))
+		return wire.Encode(progressOf(j, int(c.cfg.Params.State.ValueKB*1024)))
 	}, done)
 }
 
-func progressOf(j *sched.Job) *progressRecord {
+// progressOf renders a job's progress in at most limit bytes. Of a job whose
+// tasks are too many for that, the last ones are not remembered as done: the
+// next leader starts those again, and they exit with their result at once. A
+// record that the state service refuses would hold up all others.
+func progressOf(j *sched.Job, limit int) *progressRecord {
 	r := &progressRecord{Count: j.DoneCount, Estimate: int64(j.Estimate), Good: j.Succeeded}
 	switch {
 	case j.Cancelled:
@@ -109,8 +113,8 @@
 		r.Phase = wire.PhaseDone
 	}
 	if r.Phase == "" && j.DoneCount > 0 {
-		bits := make([]byte, (len(j.Tasks)+7)/8)
-		for i := range j.Tasks {
+		bits := make([]byte, min((len(j.Tasks)+7)/8, max(limit-progressRest, 0)*3/4))
+		for i := range j.Tasks[:min(len(j.Tasks), 8*len(bits))] {
 			if j.Tasks[i].State == sched.Done {
 				bits[i/8] |= 1 << (i % 8)
 			}
@@ -120,6 +124,9 @@
 	return r
 }
 
+// progressRest is the room that a progress record needs beside its bits.
+const progressRest = 256
+
 // archive moves an ended job out of the records that a takeover reads.
 func (c *Core) archive(j *sched.Job) {
 	if j.Shown == "" || j.Placed > 0 || c.jobs[j.ID] != j {
@@ -313,14 +320,14 @@
 	for i := range j.Tasks {
 		if i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 {
 			j.Tasks[i].State = sched.Done
+			j.DoneCount++
 		}
 	}
-	j.DoneCount = p.Count
 	switch p.Phase {
 	case wire.PhaseCancelled:
-		j.Cancelled, j.Ended, j.Shown = true, true, p.Phase
+		j.Cancelled, j.Ended, j.Shown, j.DoneCount = true, true, p.Phase, p.Count
 	case wire.PhaseDone:
-		j.Ended, j.Shown = true, p.Phase
+		j.Ended, j.Shown, j.DoneCount = true, p.Phase, p.Count
 	}
 }
 
