--- a/cmd/lilacthread/main.go
+++ b/cmd/lilacthread/main.go
@@ -111,6 +111,7 @@
 	Checkpoint float64  `help:"Checkpoint interval, s; 0: none."`
 	Save       float64  `help:"Time to save when stopped, s."`
 	Deadline   *float64 `help:"Deadline after submission, s."`
+	Awaits     []string `help:"Jobs that must be done before this one starts; may be repeated."`
 }
 
 func (s *submitCmd) Run() error {
@@ -119,7 +120,7 @@
 		Priority: map[string]string{"low": "best_effort", "normal": "normal", "high": "urgent", "production": "prod"}[s.Priority],
 		Tasks:    s.Tasks, CPUs: s.CPUs, GPUs: s.GPUs, MemoryGB: s.Memory, Image: s.Image, ImageGB: s.ImageGB,
 		Types: s.Type, Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot,
-		Estimate: s.Estimate, Checkpoint: s.Checkpoint, Save: s.Save, Deadline: s.Deadline}
+		Estimate: s.Estimate, Checkpoint: s.Checkpoint, Save: s.Save, Deadline: s.Deadline, Awaits: s.Awaits}
 	return show(client.New(s.Addr).Submit(job))
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,43 @@
 	Times  float64 `json:"times"`
 }
 
+// State is the limits of the state service. Next, if given, holds those that
+// it will have from some moment after an upgrade; a limit that is missing there
+// stays as it is.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+	Next     *struct {
+		RPS      *float64 `json:"rps"`
+		WriteRPS *float64 `json:"write_rps"`
+		ValueKB  *float64 `json:"value_kb"`
+		TxnOps   *int     `json:"txn_ops"`
+	} `json:"next"`
+}
+
+// Lowest is the smaller of the present and the next limits, each for itself.
+func (s State) Lowest() State {
+	if n := s.Next; n != nil {
+		lower(&s.RPS, n.RPS)
+		lower(&s.WriteRPS, n.WriteRPS)
+		lower(&s.ValueKB, n.ValueKB)
+		lower(&s.TxnOps, n.TxnOps)
+	}
+	s.Next = nil
+	return s
+}
+
+func lower[T int | float64](have, next *T) {
+	if next != nil {
+		*have = min(*have, *next)
+	}
+}
+
+// ValueBytes is the size of the largest value.
+func (s State) ValueBytes() int { return int(s.ValueKB * 1024) }
+
 // Config is the platform's settings file.
 type Config struct {
 	Name       string `json:"host_name"`
@@ -59,12 +96,7 @@
 			GangPeer float64 `json:"gang_peer_s"`
 			Cancel   float64 `json:"cancel_s"`
 		} `json:"workers"`
-		State struct {
-			RPS      float64 `json:"rps"`
-			WriteRPS float64 `json:"write_rps"`
-			ValueKB  float64 `json:"value_kb"`
-			TxnOps   int     `json:"txn_ops"`
-		} `json:"state"`
+		State State `json:"state"`
 		Cloud struct {
 			RPS     float64 `json:"rps"`
 			ListLag float64 `json:"list_lag_s"`
@@ -122,10 +154,11 @@
 			return fmt.Errorf("%s: %q is not an address and port", a.name, a.value)
 		}
 	}
-	numbers := []struct {
+	type number struct {
 		name            string
 		value, min, max float64
-	}{
+	}
+	numbers := []number{
 		{"params.size", float64(p.Size), 1, 99},
 		{"params.workers.report_s", p.Workers.Report, 0.05, 600},
 		{"params.workers.lease_s", p.Workers.Lease, 1, 3600},
@@ -152,21 +185,26 @@
 			name  string
 			value float64
 		}{{".cpus", t.CPUs}, {".cpus_max", t.CPUsMax}, {".gpus", t.GPUs}, {".gpus_max", t.GPUsMax}} {
-			numbers = append(numbers, struct {
-				name            string
-				value, min, max float64
-			}{name + f.name, f.value, 0, 1e9})
+			numbers = append(numbers, number{name + f.name, f.value, 0, 1e9})
 		}
 	}
 	for i, o := range p.Objectives {
 		name := fmt.Sprintf("params.objectives[%d].", i)
-		numbers = append(numbers, struct {
-			name            string
-			value, min, max float64
-		}{name + "within_s", o.Within, 0, 1e7}, struct {
-			name            string
-			value, min, max float64
-		}{name + "share", o.Share, 0, 1})
+		numbers = append(numbers, number{name + "within_s", o.Within, 0, 1e7}, number{name + "share", o.Share, 0, 1})
+	}
+	if n := p.State.Next; n != nil {
+		next := func(name string, v *float64, min, max float64) {
+			if v != nil {
+				numbers = append(numbers, number{"params.state.next." + name, *v, min, max})
+			}
+		}
+		next("rps", n.RPS, 1, 1e6)
+		next("write_rps", n.WriteRPS, 1, 1e6)
+		next("value_kb", n.ValueKB, 1, 1024)
+		if n.TxnOps != nil {
+			ops := float64(*n.TxnOps)
+			next("txn_ops", &ops, 4, 10000)
+		}
 	}
 	for _, n := range numbers {
 		if math.IsNaN(n.value) || n.value < n.min || n.value > n.max {
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -9,52 +9,127 @@
 )
 
 // committer writes the leader's records in group commits. Every record is a
-// whole snapshot of its key, so writes of one key merge and a transaction can
-// be sent again; one transaction is in flight at a time.
+// whole snapshot of its keys, so writes of one record merge and a transaction
+// can be sent again; one transaction is in flight at a time.
 type committer struct {
-	core   *Core
-	keys   map[string]*record
-	queue  []*record // urgent first come first served
-	lazy   []*record
-	busy   bool
-	paused bool
+	core    *Core
+	keys    map[string]*record
+	queue   []*record // urgent: first come first served
+	soon    []*record // somebody waits, but not for this very write
+	lazy    []*record
+	busy    bool
+	paused  bool
+	squeeze int // how often in a row the state service refused what was sent
+	limited int // 429s in a row
 }
 
-// record is a key that waits to be written.
+// render gives a record's changes, or false if it has to wait.
+type render func() ([]wire.Change, bool)
+
+// record is what waits to be written: one key, or several that change together.
 type record struct {
 	key    string
-	value  func() []byte // nil result: delete
+	render render
 	done   []func()
-	urgent bool
+	class  int
 	since  Micros
 }
 
-// lazyAfter is how long a record that nobody waits for may stay unwritten.
-const lazyAfter = 2 * clock.Second
+// Classes of records.
+const (
+	whenIdle = iota
+	merged
+	atOnce
+)
+
+// How long records of the lower classes may stay unwritten, so that more writes
+// of the same record merge. Where changes are scarce this is what keeps launches
+// from queueing behind the ends of other tasks.
+const (
+	soonAfter = 500 * clock.Millisecond
+	lazyAfter = 2 * clock.Second
+)
 
-// put queues a record; done, if any, runs once it is committed, and makes it
-// urgent.
+// put queues the record of one key; a nil value deletes it. done, if any, runs
+// once it is committed, and makes it urgent.
 func (w *committer) put(key string, value func() []byte, done func()) {
+	class := whenIdle
+	if done != nil {
+		class = atOnce
+	}
+	w.add(key, class, func() ([]wire.Change, bool) { return []wire.Change{change(key, value())}, true }, done)
+}
+
+// change puts a value, or deletes the key if there is none.
+func change(key string, value []byte) wire.Change {
+	if value == nil {
+		return wire.Change{Delete: key}
+	}
+	return wire.Change{Put: key, Value: value}
+}
+
+// add queues a record of any class.
+func (w *committer) add(key string, class int, f render, done func()) {
 	r := w.keys[key]
 	if r == nil {
-		r = &record{key: key, since: w.core.env.Now()}
+		r = &record{key: key, since: w.core.env.Now(), class: -1}
 		w.keys[key] = r
-		if done == nil {
-			w.lazy = append(w.lazy, r)
-		}
 	}
-	r.value = value
+	r.render = f
 	if done != nil {
 		r.done = append(r.done, done)
-		if !r.urgent {
-			r.urgent = true
-			w.queue = append(w.queue, r)
-		}
+	}
+	if class <= r.class {
+		return
+	}
+	r.class = class
+	switch class {
+	case atOnce:
+		w.queue = append(w.queue, r)
+	case merged:
+		w.soon = append(w.soon, r)
+	default:
+		w.lazy = append(w.lazy, r)
 	}
 }
 
 func (w *committer) abandon() { *w = committer{core: w.core, keys: map[string]*record{}} }
 
+// head gives the first record of a list that still belongs to it.
+func (w *committer) head(list *[]*record, class int) *record {
+	for len(*list) > 0 {
+		if r := (*list)[0]; w.keys[r.key] == r && r.class == class {
+			return r
+		}
+		*list = (*list)[1:]
+	}
+	return nil
+}
+
+// batch is a transaction being filled.
+type batch struct {
+	records []*record
+	changes []wire.Change
+	size    int
+}
+
+// Sizes of a transaction's JSON form beside its changes' keys and values.
+const (
+	txnRest    = 512
+	changeRest = 48
+)
+
+func changesSize(changes []wire.Change) int {
+	n := 0
+	for _, ch := range changes {
+		n += changeRest + len(ch.Put) + len(ch.Delete)
+		if ch.Value != nil {
+			n += wire.JSONSize(ch.Value)
+		}
+	}
+	return n
+}
+
 // pump starts a transaction if there is something to write. While the lease is
 // in doubt nothing is sent: the guard would catch it, but the budget is better
 // kept.
@@ -64,50 +139,75 @@
 		return
 	}
 	now := c.env.Now()
-	if len(w.queue) == 0 && (len(w.lazy) == 0 || now-w.lazy[0].since < lazyAfter) {
+	due := func(r *record, after Micros) bool { return r != nil && now-r.since >= after }
+	if w.head(&w.queue, atOnce) == nil && !due(w.head(&w.soon, merged), soonAfter) && !due(w.head(&w.lazy, whenIdle), lazyAfter) {
 		return
 	}
-	tokens := int(c.writes.TokensAt(stdTime(now)))
-	room := min(c.cfg.Params.State.TxnOps, tokens)
-	if room < 1 {
+	room := min(c.limits().TxnOps>>min(w.squeeze, 16), int(c.writes.TokensAt(stdTime(now))))
+	if room < 1 && (w.squeeze == 0 || c.writes.TokensAt(stdTime(now)) < 1) {
 		w.pauseFor(50 * clock.Millisecond)
 		return
 	}
-	var batch []*record
-	var changes []wire.Change
-	bytes := 0
-	take := func(r *record) bool {
-		if len(batch) >= room {
+	b := new(batch)
+	full := w.fill(b, &w.queue, atOnce, max(room, 1), func(*record) bool { return true }) ||
+		w.fill(b, &w.soon, merged, room, func(r *record) bool { return due(r, soonAfter/2) }) ||
+		w.fill(b, &w.lazy, whenIdle, w.spare(room, len(b.changes)), func(r *record) bool { return due(r, lazyAfter/2) })
+	if len(b.records) == 0 {
+		if full { // the first record needs more changes than the budget has now
+			w.pauseFor(50 * clock.Millisecond)
+		}
+		return
+	}
+	w.busy = true
+	c.writes.AllowN(stdTime(now), len(b.changes))
+	w.send(c.term, b)
+}
+
+// spare is how many changes a transaction may hold once records that nobody
+// waits for join it: they leave half of a second's budget to the others.
+func (w *committer) spare(room, used int) int {
+	c := w.core
+	left := int(c.writes.TokensAt(stdTime(c.env.Now()))) - c.writes.Burst()/2
+	return min(room, max(left, used))
+}
+
+// fill moves records of one list into the batch; it reports whether the next one
+// found no room.
+func (w *committer) fill(b *batch, list *[]*record, class, room int, want func(*record) bool) bool {
+	for {
+		r := w.head(list, class)
+		if r == nil || !want(r) {
 			return false
 		}
-		ch := wire.Change{Delete: r.key}
-		if v := r.value(); v != nil {
-			ch = wire.Change{Put: r.key, Value: v}
-			// JSON, in which limits are counted, is longer than MessagePack.
-			if bytes += 2 * len(v); bytes > wire.MaxBody*3/4 && len(batch) > 0 {
-				return false
-			}
+		if len(b.changes) >= room {
+			return true
 		}
-		batch = append(batch, r)
-		changes = append(changes, ch)
-		delete(w.keys, r.key)
-		return true
-	}
-	for len(w.queue) > 0 && take(w.queue[0]) {
-		w.queue = w.queue[1:]
-	}
-	for len(w.queue) == 0 && len(w.lazy) > 0 {
-		if r := w.lazy[0]; w.keys[r.key] == r && !r.urgent && !take(r) {
-			break
+		changes, ok := r.render()
+		if !ok {
+			*list = (*list)[1:]
+			r.class, r.since = whenIdle, w.core.env.Now()
+			w.lazy = append(w.lazy, r)
+			continue
 		}
-		w.lazy = w.lazy[1:]
-	}
-	if len(batch) == 0 {
-		return
+		size := changesSize(changes)
+		if len(b.records) > 0 && b.size+size > wire.MaxBody-txnRest {
+			return true
+		}
+		// A record of several changes goes whole or not at all; alone it may wait
+		// for the budget, but not for ever.
+		if len(b.changes)+len(changes) > room && (len(b.records) > 0 || len(changes) <= w.core.limits().TxnOps && !w.enough(len(changes))) {
+			return true
+		}
+		*list = (*list)[1:]
+		delete(w.keys, r.key)
+		b.records, b.changes, b.size = append(b.records, r), append(b.changes, changes...), b.size+size
 	}
-	w.busy = true
-	c.writes.AllowN(stdTime(now), len(batch))
-	w.send(c.term, changes, batch)
+}
+
+// enough reports whether the budget covers n changes, as far as it ever can.
+func (w *committer) enough(n int) bool {
+	c := w.core
+	return c.writes.TokensAt(stdTime(c.env.Now())) >= float64(min(n, c.writes.Burst()))
 }
 
 func (w *committer) pauseFor(d Micros) {
@@ -118,18 +218,34 @@
 	})
 }
 
+// requeue puts the records of a refused transaction back to the head of the
+// queue, to be rendered again. Their order among each other stays: a cascade of
+// cancellations depends on it.
+func (w *committer) requeue(b *batch) {
+	var front []*record
+	for _, r := range b.records {
+		if newer := w.keys[r.key]; newer != nil {
+			r.render, r.done = newer.render, append(r.done, newer.done...)
+		}
+		r.class = atOnce
+		w.keys[r.key] = r
+		front = append(front, r)
+	}
+	w.queue = append(front, w.queue...)
+}
+
 // send commits the changes, again if need be. A transaction whose outcome is
 // unknown is fenced off before it is repeated: applied late, it would bring old
 // values back.
-func (w *committer) send(term uint64, changes []wire.Change, batch []*record) {
+func (w *committer) send(term uint64, b *batch) {
 	c := w.core
 	ours := func() bool { return c.lead.Leading() && c.term == term && c.commit.busy }
 	again := func(ok bool) {
 		if ok && ours() {
-			w.send(term, changes, batch)
+			w.send(term, b)
 		}
 	}
-	txn := &wire.Txn{If: []wire.Guard{c.lead.Guard()}, Then: changes}
+	txn := &wire.Txn{If: []wire.Guard{c.lead.Guard()}, Then: b.changes}
 	c.env.State().Txn(txn, func(o store.Outcome, a *wire.TxnAnswer) {
 		if !ours() {
 			return
@@ -137,8 +253,8 @@
 		switch o {
 		case store.OK:
 			c.stateSeen = c.env.Now()
-			w.busy = false
-			for _, r := range batch {
+			w.busy, w.squeeze, w.limited = false, 0, 0
+			for _, r := range b.records {
 				for _, f := range r.done {
 					f()
 				}
@@ -149,9 +265,43 @@
 			c.lead.Recheck(again)
 		case store.Refused:
 			c.env.After(150*clock.Millisecond, func() { again(true) })
+		case store.Limited:
+			if w.limited++; w.limited%4 == 0 && len(b.records) > 1 {
+				// So many changes at once may be more than it ever takes.
+				w.busy, w.squeeze = false, min(w.squeeze+1, 3)
+				w.requeue(b)
+				w.pauseFor(250 * clock.Millisecond)
+				return
+			}
+			c.env.After(250*clock.Millisecond, func() { again(true) })
+		case store.Invalid:
+			w.refused(b)
 		default:
-			slog.Info("transaction without an answer, fencing", "records", len(batch))
+			slog.Info("transaction without an answer, fencing", "records", len(b.records))
 			c.lead.Fence(again)
 		}
 	})
 }
+
+// maxSqueeze is how often a transaction is made smaller before a single record
+// that is still refused is given up, so as not to hold up all others.
+const maxSqueeze = 6
+
+// refused deals with a transaction that the state service calls invalid: either
+// its limits were lowered, or one of the records is too large for them.
+func (w *committer) refused(b *batch) {
+	c := w.core
+	w.busy = false
+	raised := c.refusedForSize(b.changes)
+	w.requeue(b)
+	if !raised {
+		if w.squeeze++; w.squeeze > maxSqueeze {
+			r := w.queue[0]
+			slog.Error("record given up: the state service refuses it", "key", r.key)
+			w.queue = w.queue[1:]
+			delete(w.keys, r.key)
+			w.squeeze = 0
+		}
+	}
+	w.pauseFor(50 * clock.Millisecond)
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -73,7 +74,12 @@
 	lead    *lead.Elector
 	writes  *rate.Limiter // puts and deletes
 	calls   *rate.Limiter // requests to the cloud
-	lookups *rate.Limiter // reads of single jobs
+	lookups *rate.Limiter // reads of single jobs for users
+	needs   *rate.Limiter // reads of jobs that others await
+
+	up         upgrade
+	levelsRead Micros          // when the leader last read the announcements
+	accepted   map[string]bool // jobs that others may await, known to be accepted
 
 	stateSeen Micros // last answer of the state service
 	peers     map[string]*peerInfo
@@ -87,7 +93,7 @@
 	electedAt   Micros
 	loaded      bool
 	jobs        map[string]*sched.Job
-	finals      map[string]wire.JobStatus
+	finals      map[string]finalRecord
 	finalsOrder []string
 	machines    map[string]*sched.Machine
 	order       []*sched.Machine // machines by name
@@ -95,6 +101,7 @@
 	teams       map[string]*sched.Team
 	rates       map[string]float64
 	commit      committer
+	reading     map[string][]*sched.Job // who waits for a final state to be read
 	attempts    uint64
 	bids        uint64
 	ordered     map[string]fleet.Rental
@@ -129,14 +136,24 @@
 	job   *sched.Job // the latest service
 }
 
-// New makes a controller. Start must be called on the owner goroutine.
+// New makes a controller that speaks all format levels. Start must be called on
+// the owner goroutine.
 func New(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64) *Core {
-	c := &Core{env: env, cfg: cfg, pol: pol,
+	return NewAt(env, cfg, pol, incarnation, LevelTasks)
+}
+
+// NewAt makes a controller that speaks no higher format level than the given one,
+// as one of version 0.1 does.
+func NewAt(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64, speaks int) *Core {
+	c := &Core{env: env, cfg: cfg, pol: pol, accepted: map[string]bool{}, levelsRead: -clock.Forever,
+		up:    upgrade{speaks: speaks, level: LevelPlaces, peers: map[string]bool{}},
 		peers: map[string]*peerInfo{}, strays: map[string]Micros{}}
-	write := cfg.Params.State.WriteRPS * followerShare
+	write := cfg.Params.State.WriteRPS * c.share()
 	c.writes = rate.NewLimiter(rate.Limit(write), max(int(write), 4))
 	c.calls = rate.NewLimiter(rate.Limit(cfg.Params.Cloud.RPS*0.9), max(int(cfg.Params.Cloud.RPS), 1))
-	c.lookups = rate.NewLimiter(rate.Limit(cfg.Params.State.RPS*lookupShare), int(cfg.Params.State.RPS*lookupShare)+1)
+	look := cfg.Params.State.Lowest().RPS * lookupShare
+	c.lookups = rate.NewLimiter(rate.Limit(cfg.Params.State.RPS*lookupShare), int(look)+1)
+	c.needs = rate.NewLimiter(rate.Limit(look), int(look)+1)
 	for _, p := range cfg.Peers {
 		c.peers[p.Name] = &peerInfo{at: -clock.Forever}
 	}
@@ -163,6 +180,8 @@
 	c.every(clock.Second, c.hello)
 	c.every(500*clock.Millisecond, c.tick)
 	c.loadCatalog()
+	c.readLevels(func(bool) {})
+	c.announce()
 }
 
 // every runs f now and then again and again.
@@ -244,6 +263,9 @@
 	if c.lead.Leading() {
 		m.Term = c.lead.Term()
 	}
+	if c.up.speaks >= LevelTasks { // version 0.1 does not have these fields
+		m.Speaks, m.Level = c.up.speaks, c.up.level
+	}
 	return m
 }
 
@@ -253,6 +275,7 @@
 		return
 	}
 	p.at, p.stateOK, p.reports, p.term = c.env.Now(), m.StateOK, m.Reports, m.Term
+	c.hearLevel(m.Node, m.Speaks, m.Level)
 	if c.lead.Leading() && m.Term > c.lead.Term() {
 		c.lead.Yield()
 	}
@@ -296,7 +319,8 @@
 	c.term, c.electedAt, c.loaded = term, now, false
 	c.lastReport, c.moved, c.moves = now, now, 0
 	c.jobs = map[string]*sched.Job{}
-	c.finals = map[string]wire.JobStatus{}
+	c.finals = map[string]finalRecord{}
+	c.reading = map[string][]*sched.Job{}
 	c.finalsOrder = nil
 	c.machines = map[string]*sched.Machine{}
 	c.order = nil
@@ -315,7 +339,8 @@
 	c.arrivals = map[string]*arrival{}
 	c.unplaced = nil
 	c.ordering, c.toOrder = 0, nil
-	c.setWriteShare(leaderShare)
+	c.up.raising = false
+	c.setWriteShare()
 	c.load(term)
 }
 
@@ -323,11 +348,24 @@
 	c.loaded = false
 	c.commit.abandon()
 	c.jobs, c.machines, c.order, c.finals = nil, nil, nil, nil
-	c.setWriteShare(followerShare)
+	c.setWriteShare()
 }
 
-func (c *Core) setWriteShare(share float64) {
-	at, limit := stdTime(c.env.Now()), c.cfg.Params.State.WriteRPS*share
+// share is this node's part of the changes that the state service takes. Under
+// the next limits, which are meant to be felt, the shares of all nodes together
+// stay within them.
+func (c *Core) share() float64 {
+	if c.lead != nil && c.lead.Leading() {
+		return leaderShare
+	}
+	if c.up.level >= LevelTasks && c.cfg.Params.State.Next != nil {
+		return min(followerShare, (1-leaderShare)/float64(max(len(c.cfg.Peers), 1)))
+	}
+	return followerShare
+}
+
+func (c *Core) setWriteShare() {
+	at, limit := stdTime(c.env.Now()), c.limits().WriteRPS*c.share()
 	c.writes.SetLimitAt(at, rate.Limit(limit))
 	c.writes.SetBurstAt(at, max(int(limit), 4))
 }
@@ -365,6 +403,7 @@
 		t.Decay(now, c.pol.UseWindow)
 	}
 	c.proveByLease(now)
+	c.tendLevel(now)
 	if c.serving() {
 		c.tendMachines(now)
 		c.sendOrders()
@@ -430,13 +469,20 @@
 	out := sched.Plan(&sched.Input{
 		Now: now, Fresh: c.fresh(), Jobs: pending, Machines: c.order, Teams: c.teams,
 		Rates: c.rates, Attempt: c.attempt, Patience: c.pol.Patience,
-		MaxTasks: int(c.cfg.Params.State.ValueKB * 1024 / 250),
+		MaxTasks: c.maxTasks(),
 	})
 	for _, pl := range out.Launch {
-		c.saveMachine(pl.Machine, c.during(func() {
-			pl.Committed = true
-			c.orderSoon(pl.Machine)
-		}))
+		switch {
+		case c.up.level < LevelTasks:
+			c.saveMachine(pl.Machine, c.during(func() {
+				pl.Committed = true
+				c.orderSoon(pl.Machine)
+			}))
+			continue
+		case !pl.Machine.Recorded:
+			c.saveMachine(pl.Machine, func() {}) // before the first placement on it
+		}
+		c.savePlace(pl)
 	}
 	for _, v := range out.Stop {
 		if v.Grace > 0 { // the others go with the launch that they make room for
@@ -452,5 +498,17 @@
 	}
 }
 
+// maxTasks is how many tasks a machine may hold: while its record must hold them,
+// as many as surely fit in there.
+func (c *Core) maxTasks() int {
+	if c.up.level < LevelTasks {
+		return c.limits().ValueBytes() / placeSize
+	}
+	return math.MaxInt
+}
+
+// placeSize is more than a placement takes in its machine's record.
+const placeSize = 250
+
 // fresh is how old a machine's last report may be for new tasks.
 func (c *Core) fresh() Micros { return 5 * c.cfg.ReportEvery() / 2 }
--- /dev/null
+++ b/internal/controller/graph.go
@@ -0,0 +1,280 @@
+package controller
+
+import (
+	"log/slog"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/sched"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// Pipelines: a job waits until every job that it awaits is done, which counts
+// only once it is committed; whatever is unknown, unread or open keeps it
+// waiting. A cancellation goes down to all that need the job.
+
+// link finds out what a job still waits for.
+func (c *Core) link(j *sched.Job) {
+	if !j.Active() {
+		return
+	}
+	if !j.Waiting() { // awaits nothing
+		c.requeue(j)
+		c.noteArrival(j)
+		return
+	}
+	for _, n := range sched.Unlink(j) {
+		c.archive(n)
+	}
+	j.Blocked = 0
+	ready, doomed := j.Submitted, false
+	for _, id := range j.Spec.Awaits {
+		if n := c.jobs[id]; n != nil {
+			sched.Link(j, n)
+			switch n.Shown {
+			case wire.PhaseDone:
+				ready = max(ready, c.overAt(n.Over))
+			case wire.PhaseCancelled:
+				doomed = true
+			default:
+				j.Blocked++
+			}
+			continue
+		}
+		f, known := c.finals[id]
+		switch {
+		case !known:
+			j.Blocked++
+			c.readNeed(id, j)
+		case f.Phase == wire.PhaseCancelled:
+			doomed = true
+		case f.Over != 0:
+			ready = max(ready, c.steady(f.Over))
+		default:
+			ready = c.env.Now()
+		}
+	}
+	switch {
+	case doomed:
+		c.cancelWith(j, nil)
+	case j.Blocked == 0:
+		c.becomeReady(j, ready)
+	}
+}
+
+// overAt is when a job ended, or now if nobody noted that.
+func (c *Core) overAt(at Micros) Micros {
+	if at == 0 {
+		return c.env.Now()
+	}
+	return at
+}
+
+// becomeReady lets a job start: all that it awaits is done.
+func (c *Core) becomeReady(j *sched.Job, at Micros) {
+	slog.Debug("ready", "job", j.ID, "after", (at - j.Submitted).Seconds())
+	c.setReady(j, at)
+	for _, n := range sched.Unlink(j) {
+		c.archive(n)
+	}
+	c.saveProgress(j, whenIdle, nil)
+	c.requeue(j)
+	c.noteArrival(j)
+	c.wake()
+}
+
+// over is told that a job's end is committed: what needs it is ready, or
+// cancelled with it.
+func (c *Core) over(j *sched.Job) {
+	if j.Shown == wire.PhaseCancelled {
+		for _, n := range sched.Unlink(j) {
+			c.archive(n)
+		}
+	}
+	for _, d := range slices.Clone(j.After) {
+		switch {
+		case !d.Active() || !d.Waiting():
+		case j.Shown == wire.PhaseCancelled: // it came after the cascade was begun
+			c.cancelWith(d, nil)
+		default:
+			if d.Blocked--; d.Blocked == 0 {
+				c.becomeReady(d, c.env.Now())
+			}
+		}
+	}
+}
+
+// cancelWith cancels a job, unless it is over, and all that need it. The jobs
+// are queued in the order of the pipeline, and the committer keeps that: nothing
+// is called cancelled before what it needs is. then runs when all of it is
+// committed.
+func (c *Core) cancelWith(j *sched.Job, then func()) {
+	left := 1
+	committed := func() {
+		if left--; left == 0 && then != nil {
+			then()
+		}
+	}
+	for _, d := range append([]*sched.Job{j}, j.Dependents()...) {
+		if d.Shown != "" {
+			continue
+		}
+		if !d.Ended {
+			slog.Debug("cancel", "job", d.ID)
+			d.Cancelled, d.Ended, d.Queue = true, true, nil
+			c.dropUnsent(d)
+		}
+		left++
+		c.commitEnd(d, committed)
+	}
+	c.wake()
+	committed()
+}
+
+// needRetry is the pause before a need that could not be read is read again.
+const needRetry = 500 * clock.Millisecond
+
+// readNeed reads the final state of a job that is not in memory.
+func (c *Core) readNeed(id string, j *sched.Job) {
+	if waiting, under := c.reading[id]; under {
+		c.reading[id] = append(waiting, j)
+		return
+	}
+	c.reading[id] = []*sched.Job{j}
+	c.tryNeed(id)
+}
+
+func (c *Core) tryNeed(id string) {
+	again := func() { c.env.After(needRetry, c.during(func() { c.tryNeed(id) })) }
+	if c.jobs[id] == nil && !c.needs.AllowN(stdTime(c.env.Now()), 1) {
+		again()
+		return
+	}
+	term := c.term
+	c.readFinal(id, func(f *finalRecord, absent bool) {
+		if !c.lead.Leading() || c.term != term || !c.loaded {
+			return
+		}
+		if f == nil && c.jobs[id] == nil {
+			if absent {
+				slog.Error("an awaited job is not to be found", "job", id)
+			}
+			again()
+			return
+		}
+		if f != nil && c.jobs[id] == nil {
+			c.remember(f)
+		}
+		waiting := c.reading[id]
+		delete(c.reading, id)
+		for _, j := range waiting {
+			if c.jobs[j.ID] == j && j.Waiting() {
+				c.link(j)
+			}
+		}
+		c.commit.pump()
+	})
+}
+
+// readFinal reads a job's final record: nil if there is none or it can't be
+// read, and whether it is surely absent.
+func (c *Core) readFinal(id string, done func(f *finalRecord, absent bool)) {
+	c.env.State().Get(finalPrefix+id, func(o store.Outcome, it *wire.Item) {
+		f := new(finalRecord)
+		if o != store.OK || msgpack.Unmarshal(it.Value, f) != nil || f.Phase == "" {
+			done(nil, o == store.Failed)
+			return
+		}
+		done(f, false)
+	})
+}
+
+// verdict is what is known of the jobs that a submission awaits.
+type verdict struct {
+	why     string // the submission can't be accepted
+	unknown bool   // not all could be read
+}
+
+// maxAccepted bounds how many accepted jobs are remembered.
+const maxAccepted = 50_000
+
+// noteAccepted remembers that a job that others may await was accepted, which
+// never ends.
+func (c *Core) noteAccepted(id string) {
+	if len(c.accepted) >= maxAccepted {
+		clear(c.accepted)
+	}
+	c.accepted[id] = true
+}
+
+// judge finds out whether all that a submission awaits was accepted.
+func (c *Core) judge(job *wire.Job, done func(verdict)) {
+	var v verdict
+	left := 1
+	finish := func() {
+		if left--; left == 0 {
+			done(v)
+		}
+	}
+	for _, id := range job.Awaits {
+		if !wire.ValidID(id) || id == job.ID {
+			v.why = "awaits: " + id + " is not a job that was accepted"
+		}
+	}
+	if v.why != "" {
+		finish()
+		return
+	}
+	for _, id := range job.Awaits {
+		if c.accepted[id] {
+			continue
+		}
+		if c.lead.Leading() && c.loaded {
+			if n := c.jobs[id]; n != nil && !n.Service() {
+				c.noteAccepted(id)
+				continue
+			}
+		}
+		if !c.stateOK() || !c.needs.AllowN(stdTime(c.env.Now()), 1) {
+			v.unknown = true
+			break // the rest would be asked for in vain; what was read is remembered
+		}
+		left++
+		c.readAccepted(id, func(accepted, service, known bool) {
+			switch {
+			case !known:
+				v.unknown = true
+			case service:
+				v.why = "awaits: " + id + " is a service"
+			case !accepted:
+				v.why = "awaits: " + id + " is not a job that was accepted"
+			default:
+				c.noteAccepted(id)
+			}
+			finish()
+		})
+	}
+	finish()
+}
+
+// readAccepted reads whether a job was accepted: its record first and its final
+// one second, the order in which archiving moves it.
+func (c *Core) readAccepted(id string, done func(accepted, service, known bool)) {
+	c.env.State().Get(jobPrefix+id, func(o store.Outcome, it *wire.Item) {
+		switch o {
+		case store.OK:
+			var rec jobRecord
+			err := msgpack.Unmarshal(it.Value, &rec)
+			done(true, rec.Job.Kind == wire.KindService, err == nil)
+		case store.Failed:
+			c.readFinal(id, func(f *finalRecord, absent bool) {
+				done(f != nil, f != nil && f.Service, f != nil || absent)
+			})
+		default:
+			done(false, false, false)
+		}
+	})
+}
--- /dev/null
+++ b/internal/controller/level.go
@@ -0,0 +1,207 @@
+package controller
+
+import (
+	"log/slog"
+	"math"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/config"
+	"lilacthread/internal/sched"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// Format levels: how records are written. All levels are read at any time.
+// While versions that speak only a lower level may still run, or come back after
+// a crash, that lower level is written. The level in force rises once every node
+// of the settings has announced that it speaks the next one, and never falls.
+const (
+	// LevelPlaces is version 0.1: placements lie in their machine's record,
+	// finished tasks in their job's progress.
+	LevelPlaces = 1
+	// LevelTasks keeps both in records of a job's tasks, small enough for the
+	// next limits of the state service.
+	LevelTasks = 2
+)
+
+// Keys of the upgrade, which version 0.1 neither reads nor writes.
+const (
+	levelPrefix = "fmt/"
+	levelKey    = "fmt/level"
+	nodePrefix  = "fmt/node/"
+)
+
+type levelRecord struct {
+	Level int `msgpack:"level"`
+}
+
+// upgrade is what a node knows of the format levels.
+type upgrade struct {
+	speaks    int // what this process reads and writes at most
+	level     int // in force
+	announced bool
+	peers     map[string]bool // nodes known to speak our level
+	raising   bool            // the record of the new level is on its way
+}
+
+// limits are those of the state service in force: the present ones until the
+// upgrade is over, from then on the smaller of the present and the next.
+func (c *Core) limits() config.State {
+	s := c.cfg.Params.State
+	if c.up.level >= LevelTasks {
+		s = s.Lowest()
+	}
+	// A transaction of a single record that is refused all the same: shrink it.
+	if n := c.commit.squeeze - 3; n > 0 {
+		s.ValueKB *= math.Pow(0.75, float64(n))
+	}
+	return s
+}
+
+// announce tells the others, through the state service, what this process
+// speaks; peers also hear it in every message.
+func (c *Core) announce() {
+	if c.up.announced || c.up.speaks < LevelTasks {
+		return
+	}
+	again := func() { c.env.After(clock.Second, c.announce) }
+	if !c.writes.AllowN(stdTime(c.env.Now()), 1) {
+		again()
+		return
+	}
+	c.env.State().Txn(&wire.Txn{Then: []wire.Change{
+		{Put: nodePrefix + c.cfg.Name, Value: wire.Encode(&levelRecord{c.up.speaks})},
+	}}, func(o store.Outcome, _ *wire.TxnAnswer) {
+		if o == store.OK {
+			c.up.announced = true
+			return
+		}
+		again()
+	})
+}
+
+// hearLevel takes in what is known of another node's process.
+func (c *Core) hearLevel(node string, speaks, level int) {
+	if c.up.speaks < LevelTasks {
+		return
+	}
+	if speaks >= LevelTasks {
+		c.up.peers[node] = true
+	}
+	if level > c.up.level {
+		c.raise("another node says so")
+	}
+}
+
+// readLevels reads the announcements and the level in force.
+func (c *Core) readLevels(done func(ok bool)) {
+	if c.up.speaks < LevelTasks {
+		done(true)
+		return
+	}
+	c.env.State().List(levelPrefix, "", 500, func(o store.Outcome, l *wire.ItemList) {
+		if o != store.OK {
+			done(false)
+			return
+		}
+		for i := range l.Items {
+			var r levelRecord
+			if msgpack.Unmarshal(l.Items[i].Value, &r) != nil {
+				continue
+			}
+			if l.Items[i].Key == levelKey {
+				c.hearLevel("", 0, r.Level)
+			} else {
+				c.hearLevel(strings.TrimPrefix(l.Items[i].Key, nodePrefix), r.Level, 0)
+			}
+		}
+		done(true)
+	})
+}
+
+// tendLevel has the leader raise the level once every node speaks it. The level
+// is recorded first, and used after.
+func (c *Core) tendLevel(now Micros) {
+	if c.up.level >= LevelTasks || c.up.speaks < LevelTasks || c.up.raising {
+		return
+	}
+	for name := range c.peers {
+		if !c.up.peers[name] {
+			if now-c.levelsRead > 2*clock.Second {
+				c.levelsRead = now
+				c.readLevels(func(bool) {})
+			}
+			return
+		}
+	}
+	c.recordLevel(func() { c.raise("every node speaks it") })
+}
+
+// recordLevel writes the next level for good.
+func (c *Core) recordLevel(then func()) {
+	c.up.raising = true
+	c.commit.put(levelKey, func() []byte { return wire.Encode(&levelRecord{LevelTasks}) }, c.during(then))
+}
+
+// raise begins to write the new level and to keep the next limits.
+func (c *Core) raise(why string) {
+	if c.up.level >= LevelTasks {
+		return
+	}
+	c.up.level = LevelTasks
+	slog.Info("format level raised", "level", c.up.level, "why", why)
+	c.setWriteShare()
+	at := stdTime(c.env.Now())
+	c.lookups.SetLimitAt(at, rate.Limit(c.limits().RPS*lookupShare))
+	if c.lead.Leading() && c.loaded {
+		c.convert()
+	}
+}
+
+// convert writes the placements that lie in their machines' records into those
+// of their jobs. A machine's record drops a placement only when that is done.
+func (c *Core) convert() {
+	for _, m := range c.order {
+		for _, p := range places(m) {
+			switch {
+			case p.InJob:
+			case p.Job == nil: // over, or replaced after its absence was proven
+				p.InJob = true
+			default:
+				c.savePlace(p)
+			}
+		}
+		c.saveMachine(m, nil)
+	}
+}
+
+// refusedForSize is told of changes that the state service called invalid. A
+// refusal of what the present limits allow and the next ones don't proves that
+// the upgrade is over.
+func (c *Core) refusedForSize(changes []wire.Change) bool {
+	low := c.cfg.Params.State.Lowest()
+	over := len(changes) > low.TxnOps
+	for _, ch := range changes {
+		over = over || ch.Value != nil && wire.JSONSize(ch.Value) > low.ValueBytes()
+	}
+	if !over || c.up.level >= LevelTasks || c.up.speaks < LevelTasks {
+		return false
+	}
+	c.raise("the state service has its next limits")
+	if c.lead.Leading() && c.loaded {
+		c.recordLevel(func() {})
+	}
+	return true
+}
+
+// savePlace writes a placement ahead of its launch, or converts it.
+func (c *Core) savePlace(p *sched.Placement) {
+	c.saveTasks(p.Job, p.Index, atOnce, c.during(func() {
+		p.InJob, p.Committed = true, true
+		c.orderSoon(p.Machine)
+	}))
+}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -24,11 +24,10 @@
 	again := 30 * clock.Second
 	if c.catalog == nil {
 		again = clock.Second
-		c.env.State().Get(catalogKey, func(o store.Outcome, it *wire.Item) {
+		c.env.State().List(catalogKey, "", 500, func(o store.Outcome, l *wire.ItemList) {
 			if o == store.OK && c.catalog == nil {
-				var cat wire.Catalog
-				if wire.Decode(it.Value, &cat) == nil {
-					c.setCatalog(&cat)
+				if cat := readCatalog(l.Items); cat != nil {
+					c.setCatalog(cat)
 				}
 			}
 		})
@@ -40,13 +39,65 @@
 			}
 			c.setCatalog(cat)
 			if c.lead.Leading() && c.loaded {
-				c.commit.put(catalogKey, func() []byte { return wire.Encode(&wire.Catalog{Types: c.catalog}) }, nil)
+				c.saveCatalog()
 			}
 		})
 	}
 	c.env.After(again, c.loadCatalog)
 }
 
+// catalogRecord is a part of the catalogue as it is kept; it reads as one.
+type catalogRecord struct {
+	wire.Catalog `msgpack:",inline"`
+	Parts        int `msgpack:"parts,omitempty"` // in all, unless it is one
+}
+
+// saveCatalog keeps the machine types in as many values as they need.
+func (c *Core) saveCatalog() {
+	limit := c.limits().ValueBytes()
+	parts := []catalogRecord{{}}
+	for _, t := range c.catalog {
+		last := &parts[len(parts)-1]
+		last.Types = append(last.Types, t)
+		last.Parts = math.MaxInt16 // as large as the real number will be
+		if len(last.Types) > 1 && wire.JSONSize(wire.Encode(last)) > limit {
+			last.Types = last.Types[:len(last.Types)-1]
+			parts = append(parts, catalogRecord{Catalog: wire.Catalog{Types: []wire.MachineType{t}}})
+		}
+	}
+	for i := range parts {
+		parts[i].Parts = len(parts)
+		if len(parts) == 1 {
+			parts[i].Parts = 0
+		}
+		key := catalogKey
+		if i > 0 {
+			key += "/" + strconv.Itoa(i)
+		}
+		c.commit.put(key, func() []byte { return wire.Encode(&parts[i]) }, nil)
+	}
+}
+
+// readCatalog puts the catalogue together again; nil unless it is whole.
+func readCatalog(items []wire.Item) *wire.Catalog {
+	cat, want, have := new(wire.Catalog), 1, 0
+	for i := range items {
+		var rec catalogRecord
+		if wire.Decode(items[i].Value, &rec) != nil {
+			continue
+		}
+		if items[i].Key == catalogKey {
+			want = max(rec.Parts, 1)
+		}
+		cat.Types = append(cat.Types, rec.Types...)
+		have++
+	}
+	if have < want || len(cat.Types) == 0 {
+		return nil
+	}
+	return cat
+}
+
 // setCatalog takes valid entries over. Machines keep pointing at their type,
 // so known entries are updated in place.
 func (c *Core) setCatalog(cat *wire.Catalog) {
--- /dev/null
+++ b/internal/controller/production_test.go
@@ -0,0 +1,179 @@
+package controller
+
+import (
+	"bytes"
+	"encoding/hex"
+	"os"
+	"strings"
+	"testing"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/config"
+	"lilacthread/internal/policy"
+	"lilacthread/internal/sched"
+	"lilacthread/wire"
+)
+
+// still is a world in which time stands still and nothing answers.
+type still struct{ Env }
+
+func (still) Now() Micros  { return 10 * clock.Second }
+func (still) Wall() Micros { return 1_700_000_010 * clock.Second }
+
+// loading makes a core as a new leader is while it reads its records.
+func loading(level int, state config.State) *Core {
+	cfg := new(config.Config)
+	cfg.Params.State = state
+	c := &Core{env: still{}, cfg: cfg, pol: policy.Default(), up: upgrade{speaks: LevelTasks, level: level},
+		jobs: map[string]*sched.Job{}, finals: map[string]finalRecord{}, machines: map[string]*sched.Machine{},
+		teams: map[string]*sched.Team{"core": {Name: "core"}}, rates: map[string]float64{}, arrivals: map[string]*arrival{}}
+	c.commit = committer{core: c, keys: map[string]*record{}}
+	return c
+}
+
+func production(t *testing.T) map[string][]byte {
+	t.Helper()
+	raw, err := os.ReadFile("testdata/production.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := map[string][]byte{}
+	for line := range strings.Lines(string(raw)) {
+		key, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if !ok || key == "#" {
+			continue
+		}
+		if out[key], err = hex.DecodeString(value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
+func load(t *testing.T, c *Core, records map[string][]byte) {
+	t.Helper()
+	c.setCatalog(readCatalog([]wire.Item{{Key: catalogKey, Value: records[catalogKey]}}))
+	var jobs, tasks []wire.Item
+	for key, value := range records {
+		switch {
+		case strings.HasPrefix(key, jobPrefix):
+			jobs = append(jobs, wire.Item{Key: key, Value: value})
+		case strings.HasPrefix(key, taskPrefix):
+			tasks = append(tasks, wire.Item{Key: key, Value: value})
+		}
+	}
+	progress := map[string]*progressRecord{}
+	c.addRecords(jobs, progress)
+	for id, p := range progress {
+		c.restore(c.jobs[id], p)
+	}
+	found := c.readTasks(tasks)
+	for key, value := range records {
+		if strings.HasPrefix(key, machinePrefix) {
+			c.restoreMachine(&wire.Item{Key: key, Value: value})
+		}
+	}
+	for _, f := range found {
+		c.restorePlaces(f)
+	}
+	c.sortMachines()
+}
+
+// written renders what waits to be written.
+func written(c *Core, t *testing.T) map[string][]byte {
+	t.Helper()
+	out := map[string][]byte{}
+	for _, r := range c.commit.keys {
+		changes, ok := r.render()
+		for _, ch := range changes {
+			if ok && ch.Put != "" {
+				out[ch.Put] = ch.Value
+			}
+		}
+	}
+	return out
+}
+
+func check(t *testing.T, c *Core) {
+	t.Helper()
+	j, m := c.jobs["req-000001"], c.machines["m-000001"]
+	if j == nil || m == nil || len(c.machines) != 2 || len(c.jobs) != 3 {
+		t.Fatalf("%d jobs, %d machines", len(c.jobs), len(c.machines))
+	}
+	if j.DoneCount != 3 || j.Tasks[9].State != sched.Done || j.Placed != 3 || j.Estimate != 42*clock.Second || !j.Succeeded ||
+		j.Deadline != 301*clock.Second {
+		t.Errorf("job: %+v", j)
+	}
+	p := j.Tasks[4].Place
+	if p == nil || p.Machine.ID != "m-000002" || p.Attempt != 2<<32|9 || p.Session != 2 || p.Team != "core" || p.Need.CPUs != 2 {
+		t.Errorf("placement: %+v", p)
+	}
+	if s := c.jobs["req-000003"]; s.Shown != wire.PhaseCancelled {
+		t.Errorf("cancelled job: %q", s.Shown)
+	}
+	if m.Sizes["img-2"] != 1.2 || !m.Recorded || c.teams["core"].Held.CPUs < 8 {
+		t.Errorf("machine: %+v, team %+v", m, c.teams["core"])
+	}
+}
+
+// TestProductionRecords: what the version in production wrote is read whole, and
+// what is written before the upgrade is over is the same to the byte, so its
+// readers accept it. At the next level the same state is kept in the new records,
+// within the lowest limits.
+func TestProductionRecords(t *testing.T) {
+	records := production(t)
+	c := loading(LevelPlaces, config.State{ValueKB: 32, TxnOps: 32, WriteRPS: 100})
+	load(t, c, records)
+	check(t, c)
+	for _, m := range c.machines {
+		c.saveMachine(m, nil)
+	}
+	for _, id := range []string{"req-000001", "req-000003"} {
+		c.saveProgress(c.jobs[id], atOnce, nil)
+	}
+	c.saveCatalog()
+	got := written(c, t)
+	for _, key := range []string{"m/m-000001", "m/m-000002", "j/req-000001/s", "j/req-000003/s", "catalog"} {
+		if !bytes.Equal(got[key], records[key]) {
+			t.Errorf("%s: written %x\nproduction %x", key, got[key], records[key])
+		}
+	}
+	changes, why := c.jobChanges(c.jobs["req-000001"].Spec)
+	rec, err := decodeJobRecord(changes[0].Value, nil)
+	if why != "" || err != nil || rec.Job.Tasks != 12 || len(changes[0].Value) != len(records["j/req-000001"]) {
+		t.Errorf("job record: %s, %v, %d bytes", why, err, len(changes[0].Value))
+	}
+
+	c.up.level = LevelTasks
+	c.cfg.Params.State.ValueKB = 1
+	c.convert()
+	for _, r := range c.commit.keys { // as if committed: the jobs' records first
+		r.render()
+	}
+	for _, m := range c.machines {
+		for _, p := range m.Places {
+			p.InJob = true
+		}
+	}
+	for key, value := range written(c, t) {
+		if n := wire.JSONSize(value); n > 1024 {
+			t.Errorf("%s takes %d bytes", key, n)
+		}
+		records[key] = value
+	}
+	records["j/req-000001/s"] = wire.Encode(c.progressOf(c.jobs["req-000001"]))
+	again := loading(LevelTasks, c.cfg.Params.State)
+	load(t, again, records)
+	check(t, again)
+	if m := again.machines["m-000002"]; len(m.Places) != 1 || !m.Places["req-000001/4"].InJob {
+		t.Errorf("placements of m-000002: %v", m.Places)
+	}
+	var f finalRecord
+	if err := wire.Decode(records["f/req-000004"], &f); err != nil || f.Phase != wire.PhaseDone || f.Done != 7 {
+		t.Errorf("final state: %+v, %v", f, err)
+	}
+	c.restoreLearnt(records[learntKey])
+	if c.arrivals["check"].rate != 3.25 || c.rates["t"] != 0.21 {
+		t.Errorf("learnt: %+v", c.arrivals["check"])
+	}
+}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/base64"
+	"fmt"
 	"log/slog"
+	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -15,28 +18,47 @@
 )
 
 // Keys in the state service. A job's record is written once by the node that
-// accepted it, its progress by the leader, under the same prefix so that one
-// list reads both at one instant.
+// accepted it, with what its awaits don't fit in beside it; its progress by the
+// leader, under the same prefix so that one list reads all at one instant. From
+// LevelTasks on, the records of a job's tasks have a prefix of their own.
 const (
 	jobPrefix     = "j/"
 	finalPrefix   = "f/"
 	machinePrefix = "m/"
+	taskPrefix    = "t/"
 	catalogKey    = "catalog"
 	learntKey     = "learnt"
 	progressTail  = "/s"
+	awaitsTail    = "/w" // and a number; sorts behind the progress
 )
 
 type jobRecord struct {
-	Job wire.Job `msgpack:"job"`
-	At  int64    `msgpack:"at"` // time of day of acceptance, microseconds
+	Job   wire.Job `msgpack:"job"`
+	At    int64    `msgpack:"at"`              // time of day of acceptance, microseconds
+	Parts int      `msgpack:"parts,omitempty"` // further keys with the rest of the awaits
+}
+
+type awaitsRecord struct {
+	Awaits []string `msgpack:"awaits"`
 }
 
 type progressRecord struct {
 	Phase    string `msgpack:"phase,omitempty"` // final phases only
-	Done     string `msgpack:"done"`            // bit per task, base64
+	Done     string `msgpack:"done"`            // bit per task, base64; LevelPlaces only
 	Count    int    `msgpack:"count"`
 	Estimate int64  `msgpack:"est"`
 	Good     bool   `msgpack:"good"`
+	// Times of day in microseconds; version 0.1 knows none of them.
+	Ready int64 `msgpack:"ready,omitempty"` // of a job that awaits others: when they were done
+	Start int64 `msgpack:"start,omitempty"` // of its pipeline
+	Over  int64 `msgpack:"over,omitempty"`  // when it ended
+}
+
+// finalRecord is what is kept of a job for ever.
+type finalRecord struct {
+	wire.JobStatus `msgpack:",inline"`
+	Over           int64 `msgpack:"over,omitempty"`
+	Service        bool  `msgpack:"service,omitempty"`
 }
 
 type placeRecord struct {
@@ -71,10 +93,17 @@
 	Batch    map[string]bool    `msgpack:"batch"`
 }
 
+// saveMachine writes a machine's record: what it is, the images it has, and the
+// placements that their jobs' records don't hold.
 func (c *Core) saveMachine(m *sched.Machine, done func()) {
-	c.commit.put(machinePrefix+m.ID, func() []byte {
+	class := whenIdle
+	if done != nil {
+		class = atOnce
+	}
+	key := machinePrefix + m.ID
+	c.commit.add(key, class, func() ([]wire.Change, bool) {
 		if c.machines[m.ID] != m {
-			return nil
+			return []wire.Change{{Delete: key}}, true
 		}
 		rec := machineRecord{Addr: m.Addr, Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot,
 			At: int64(m.Since - c.env.Now() + c.env.Wall()), Places: []placeRecord{}}
@@ -86,20 +115,69 @@
 			rec.Sizes = append(rec.Sizes, m.Sizes[image])
 		}
 		for _, p := range m.Places {
-			rec.Places = append(rec.Places, placeRecord{p.Task, p.Attempt, p.Session,
-				p.Need.CPUs, p.Need.GPUs, p.Need.Memory, p.Team, p.Priority, p.Image})
+			if !p.InJob {
+				rec.Places = append(rec.Places, placeRecord{p.Task, p.Attempt, p.Session,
+					p.Need.CPUs, p.Need.GPUs, p.Need.Memory, p.Team, p.Priority, p.Image})
+			}
 		}
 		slices.SortFunc(rec.Places, func(a, b placeRecord) int { return strings.Compare(a.Task, b.Task) })
-		return wire.Encode(&rec)
-	}, done)
+		value, limit := wire.Encode(&rec), c.limits().ValueBytes()
+		for len(rec.Images) > 0 && wire.JSONSize(value) > limit {
+			// Images are fetched again where they are not known.
+			n := len(rec.Images) / 2
+			rec.Images, rec.Sizes = rec.Images[:n], rec.Sizes[:n]
+			value = wire.Encode(&rec)
+		}
+		if c.up.level >= LevelTasks && len(rec.Places) > 0 && wire.JSONSize(value) > limit {
+			return nil, false // until the jobs' records hold the placements
+		}
+		return []wire.Change{{Put: key, Value: value}}, true
+	}, c.during(func() {
+		m.Recorded = true
+		if done != nil {
+			done()
+		}
+	}))
 }
 
-func (c *Core) saveProgress(j *sched.Job, done func()) {
-	c.commit.put(jobPrefix+j.ID+progressTail, func() []byte {
-		return wire.Encode(progressOf(j, int(c.cfg.Params.State.ValueKB*1024)))
+func (c *Core) saveProgress(j *sched.Job, class int, done func()) {
+	key := jobPrefix + j.ID + progressTail
+	c.commit.add(key, class, func() ([]wire.Change, bool) {
+		if c.jobs[j.ID] != j { // archived meanwhile
+			return []wire.Change{{Delete: key}}, true
+		}
+		return []wire.Change{{Put: key, Value: wire.Encode(c.progressOf(j))}}, true
 	}, done)
 }
 
+func (c *Core) progressOf(j *sched.Job) *progressRecord {
+	if c.up.level < LevelTasks {
+		r := progressOf(j, c.limits().ValueBytes())
+		c.times(j, r)
+		return r
+	}
+	r := progressOf(j, 0) // the tasks have records of their own
+	c.times(j, r)
+	if j.Shown == "" && r.Phase != "" && j.Over == 0 {
+		j.Over = c.env.Now()
+	}
+	if j.Over != 0 {
+		r.Over = c.wall(j.Over)
+	}
+	return r
+}
+
+// times adds when a job that awaits others became ready.
+func (c *Core) times(j *sched.Job, r *progressRecord) {
+	if len(j.Spec.Awaits) > 0 && !j.Waiting() && j.Ready > 0 {
+		r.Ready, r.Start = c.wall(j.Ready), c.wall(j.Start)
+	}
+}
+
+// wall and steady convert between the steady clock and the time of day.
+func (c *Core) wall(at Micros) int64   { return int64(at - c.env.Now() + c.env.Wall()) }
+func (c *Core) steady(at int64) Micros { return min(c.env.Now(), Micros(at)-c.env.Wall()+c.env.Now()) }
+
 // progressOf renders a job's progress in at most limit bytes. Of a job whose
 // tasks are too many for that, the last ones are not remembered as done: the
 // next leader starts those again, and they exit with their result at once. A
@@ -127,32 +205,51 @@
 // progressRest is the room that a progress record needs beside its bits.
 const progressRest = 256
 
-// archive moves an ended job out of the records that a takeover reads.
+// archive moves an ended job out of the records that a takeover reads. A job
+// that others still wait for stays, so that a takeover need not look for it.
 func (c *Core) archive(j *sched.Job) {
-	if j.Shown == "" || j.Placed > 0 || c.jobs[j.ID] != j {
+	if j.Shown == "" || j.Placed > 0 || len(j.After) > 0 || c.jobs[j.ID] != j {
 		return
 	}
-	final := wire.JobStatus{ID: j.ID, Phase: j.Shown, Done: j.DoneCount}
+	final := finalRecord{JobStatus: wire.JobStatus{ID: j.ID, Phase: j.Shown, Done: j.DoneCount}, Service: j.Service()}
 	delete(c.jobs, j.ID)
-	c.remember(final)
-	c.commit.put(finalPrefix+j.ID, func() []byte { return wire.Encode(&final) }, c.during(func() {
-		// Only after the final record exists: a reader looks for the job first.
-		none := func() []byte { return nil }
-		c.commit.put(jobPrefix+j.ID, none, c.during(func() {
-			c.commit.put(jobPrefix+j.ID+progressTail, none, nil)
+	c.remember(&final)
+	none := func() []byte { return nil }
+	if c.up.level < LevelTasks {
+		c.commit.put(finalPrefix+j.ID, func() []byte { return wire.Encode(&final) }, c.during(func() {
+			// Only after the final record exists: a reader looks for the job first.
+			c.commit.put(jobPrefix+j.ID, none, c.during(func() {
+				c.commit.put(jobPrefix+j.ID+progressTail, none, nil)
+			}))
 		}))
-	}))
+	} else {
+		if j.Over != 0 {
+			final.Over = c.wall(j.Over)
+		}
+		// All at once, so that a reader sees the job or its final record. What
+		// the job's end has not yet written is written or made needless here.
+		c.commit.add(finalPrefix+j.ID, whenIdle, func() ([]wire.Change, bool) {
+			return []wire.Change{{Put: finalPrefix + j.ID, Value: wire.Encode(&final)},
+				{Delete: jobPrefix + j.ID}, {Delete: jobPrefix + j.ID + progressTail}}, true
+		}, nil)
+	}
+	for first, parts := range j.Parts {
+		c.deleteTasks(j.ID, first, parts)
+	}
+	for i := range j.AwaitsParts {
+		c.commit.put(awaitsKey(j.ID, i), none, nil)
+	}
 }
 
 // maxFinals bounds the final states kept in memory; all are in the state
 // service.
 const maxFinals = 20_000
 
-func (c *Core) remember(s wire.JobStatus) {
+func (c *Core) remember(s *finalRecord) {
 	if _, ok := c.finals[s.ID]; !ok {
 		c.finalsOrder = append(c.finalsOrder, s.ID)
 	}
-	c.finals[s.ID] = s
+	c.finals[s.ID] = *s
 	if len(c.finalsOrder) > maxFinals {
 		delete(c.finals, c.finalsOrder[0])
 		c.finalsOrder = c.finalsOrder[1:]
@@ -163,7 +260,7 @@
 func (c *Core) load(term uint64) {
 	still := func() bool { return c.lead.Leading() && c.term == term }
 	progress := map[string]*progressRecord{}
-	var machines []wire.Item
+	var machines, tasks []wire.Item
 	var since uint64
 	finish := func() {
 		for id, p := range progress {
@@ -173,15 +270,28 @@
 				c.commit.put(jobPrefix+id+progressTail, func() []byte { return nil }, nil)
 			}
 		}
+		// Results first: a record that holds a task's place may be older.
+		records := c.readTasks(tasks)
 		for i := range machines {
 			c.restoreMachine(&machines[i])
 		}
+		for _, r := range records {
+			c.restorePlaces(r)
+		}
 		for _, j := range c.jobs {
 			c.requeue(j)
 		}
 		c.sortMachines()
 		c.loaded = true
-		slog.Info("loaded", "term", term, "jobs", len(c.jobs), "machines", len(c.machines))
+		slog.Info("loaded", "term", term, "jobs", len(c.jobs), "machines", len(c.machines), "level", c.up.level)
+		if c.up.level >= LevelTasks {
+			c.convert()
+		}
+		for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+			if j := c.jobs[id]; j != nil && j.Waiting() {
+				c.link(j)
+			}
+		}
 		for _, j := range c.jobs {
 			c.archive(j)
 		}
@@ -190,34 +300,67 @@
 		c.saveLearnt(term)
 		c.wake()
 	}
-	c.listAll(still, jobPrefix, func(items []wire.Item, revision uint64) {
-		since = revision
-		for i := range items {
-			id, isProgress := strings.CutSuffix(strings.TrimPrefix(items[i].Key, jobPrefix), progressTail)
-			if isProgress {
-				p := new(progressRecord)
-				if msgpack.Unmarshal(items[i].Value, p) == nil {
-					progress[id] = p
-				}
-				continue
-			}
-			c.addRecord(items[i].Value)
-		}
-		c.listAll(still, machinePrefix, func(items []wire.Item, _ uint64) {
-			machines = items
-			c.env.State().Get(learntKey, func(o store.Outcome, it *wire.Item) {
-				if !still() {
-					return
-				}
-				if o == store.OK {
-					c.restoreLearnt(it.Value)
-				}
-				c.withCatalog(still, finish)
+	read := func(prefix string, then func([]wire.Item, uint64)) { c.listAll(still, prefix, then) }
+	c.levelsAtLoad(still, func() {
+		read(jobPrefix, func(items []wire.Item, revision uint64) {
+			since = revision
+			c.addRecords(items, progress)
+			read(taskPrefix, func(items []wire.Item, _ uint64) {
+				tasks = items
+				read(machinePrefix, func(items []wire.Item, _ uint64) {
+					machines = items
+					c.env.State().Get(learntKey, func(o store.Outcome, it *wire.Item) {
+						if !still() {
+							return
+						}
+						if o == store.OK {
+							c.restoreLearnt(it.Value)
+						}
+						c.withCatalog(still, finish)
+					})
+				})
 			})
 		})
 	})
 }
 
+// levelsAtLoad learns the format level before anything is written.
+func (c *Core) levelsAtLoad(still func() bool, then func()) {
+	c.readLevels(func(ok bool) {
+		switch {
+		case !still():
+		case ok:
+			then()
+		default:
+			c.env.After(100*clock.Millisecond, func() { c.levelsAtLoad(still, then) })
+		}
+	})
+}
+
+// addRecords enters the jobs among the items; progress, if not nil, takes in
+// what lies beside them.
+func (c *Core) addRecords(items []wire.Item, progress map[string]*progressRecord) {
+	parts := map[string][][]byte{}
+	for i := range items {
+		key := strings.TrimPrefix(items[i].Key, jobPrefix)
+		if id, tail, found := strings.Cut(key, "/"); found && strings.HasPrefix("/"+tail, awaitsTail) {
+			parts[id] = append(parts[id], items[i].Value)
+		}
+	}
+	for i := range items {
+		id, tail, found := strings.Cut(strings.TrimPrefix(items[i].Key, jobPrefix), "/")
+		switch {
+		case !found:
+			c.addRecord(items[i].Value, parts[id])
+		case "/"+tail == progressTail && progress != nil:
+			p := new(progressRecord)
+			if msgpack.Unmarshal(items[i].Value, p) == nil {
+				progress[id] = p
+			}
+		}
+	}
+}
+
 // withCatalog waits for the machine types, without which no machine can be
 // judged.
 func (c *Core) withCatalog(still func() bool, then func()) {
@@ -258,50 +401,82 @@
 	page("")
 }
 
+// decodeJobRecord reads a job's record and the keys beside it that hold the rest
+// of its awaits.
+func decodeJobRecord(value []byte, parts [][]byte) (*jobRecord, error) {
+	rec := new(jobRecord)
+	if err := msgpack.Unmarshal(value, rec); err != nil {
+		return nil, err
+	}
+	if !wire.ValidID(rec.Job.ID) {
+		return nil, fmt.Errorf("id %q", rec.Job.ID)
+	}
+	if len(parts) != rec.Parts {
+		return nil, fmt.Errorf("%s: %d of %d parts", rec.Job.ID, len(parts), rec.Parts)
+	}
+	for _, raw := range parts {
+		var more awaitsRecord
+		if err := msgpack.Unmarshal(raw, &more); err != nil {
+			return nil, err
+		}
+		rec.Job.Awaits = append(rec.Job.Awaits, more.Awaits...)
+	}
+	return rec, nil
+}
+
 // addRecord enters a job from its record, unless it is known.
-func (c *Core) addRecord(value []byte) *sched.Job {
-	var rec jobRecord
-	if err := msgpack.Unmarshal(value, &rec); err != nil || !wire.ValidID(rec.Job.ID) {
+func (c *Core) addRecord(value []byte, parts [][]byte) {
+	rec, err := decodeJobRecord(value, parts)
+	if err != nil {
 		slog.Error("job record cannot be read", "err", err)
-		return nil
+		return
 	}
-	if j := c.jobs[rec.Job.ID]; j != nil {
-		return j
+	if c.jobs[rec.Job.ID] != nil {
+		return
 	}
 	if _, over := c.finals[rec.Job.ID]; over {
-		return nil
+		return
 	}
 	spec := &rec.Job
-	now := c.env.Now()
+	if c.up.speaks < LevelTasks {
+		spec.Awaits = nil // version 0.1 does not know them
+	}
 	j := &sched.Job{
-		Spec: spec, ID: spec.ID, Priority: wire.PriorityOf(spec.Priority),
-		Submitted: min(now, Micros(rec.At)-c.env.Wall()+now),
-		Deadline:  clock.Forever,
-		Estimate:  clock.FromSeconds(spec.Estimate),
-		Tasks:     make([]sched.Task, spec.Tasks),
-		FailedOn:  map[string]bool{},
+		Spec: spec, ID: spec.ID,
+		Submitted:   c.steady(rec.At),
+		Estimate:    clock.FromSeconds(spec.Estimate),
+		Tasks:       make([]sched.Task, spec.Tasks),
+		FailedOn:    map[string]bool{},
+		Parts:       map[int]int{},
+		AwaitsParts: rec.Parts,
+	}
+	j.Init()
+	c.jobs[j.ID] = j
+	if len(spec.Awaits) == 0 {
+		c.setReady(j, j.Submitted)
+	} else {
+		j.Blocked = 1 // until it is linked
 	}
-	if spec.Deadline != nil {
-		j.Deadline = j.Submitted + clock.FromSeconds(*spec.Deadline)
+	if c.loaded {
+		c.link(j)
 	}
+}
+
+// setReady notes from when the job's aims are counted.
+func (c *Core) setReady(j *sched.Job, at Micros) {
+	j.Blocked, j.Ready, j.Targets = 0, at, nil
 	for _, o := range c.cfg.Params.Objectives {
-		if o.Kind == "finished" && o.Class == spec.Class {
-			j.Targets = append(j.Targets, j.Submitted+clock.FromSeconds(o.Within))
+		if o.Kind == "finished" && o.Class == j.Spec.Class {
+			j.Targets = append(j.Targets, j.Ready+clock.FromSeconds(o.Within))
 		}
 	}
 	slices.Sort(j.Targets)
-	c.jobs[j.ID] = j
-	if c.loaded {
-		c.requeue(j)
-		c.noteArrival(j)
-	}
-	return j
 }
 
 // requeue fills a job's queue with its pending tasks.
 func (c *Core) requeue(j *sched.Job) {
 	j.Queue = j.Queue[:0]
-	if !j.Active() {
+	if !j.Active() || j.Waiting() {
 		return
 	}
 	for i := range j.Tasks {
@@ -323,6 +498,13 @@
 			j.DoneCount++
 		}
 	}
+	if p.Over != 0 {
+		j.Over = c.steady(p.Over)
+	}
+	if p.Ready != 0 {
+		j.Start = min(j.Start, c.steady(p.Start))
+		c.setReady(j, c.steady(p.Ready))
+	}
 	switch p.Phase {
 	case wire.PhaseCancelled:
 		j.Cancelled, j.Ended, j.Shown, j.DoneCount = true, true, p.Phase, p.Count
@@ -347,32 +529,39 @@
 			m.Touch(image, rec.Sizes[i], c.env.Now())
 		}
 	}
+	m.Recorded = true
 	for _, r := range rec.Places {
-		jobID, index, ok := wire.SplitTask(r.Task)
-		if !ok {
-			continue
-		}
-		pl := &sched.Placement{Index: index, Task: r.Task, Attempt: r.Attempt, Machine: m,
-			Session: r.Session, Need: sched.Need{CPUs: r.CPUs, GPUs: r.GPUs, Memory: r.Memory}, Team: r.Team,
-			Priority: r.Priority, Image: r.Image, Committed: true, Sent: true, Inherited: true}
-		// A record may still hold a task that is done, or one that has since
-		// been placed elsewhere after its absence was proven; the higher
-		// attempt is the current one.
-		if j := c.jobs[jobID]; j != nil && index < len(j.Tasks) && j.Tasks[index].State != sched.Done {
-			if other := j.Tasks[index].Place; other == nil {
-				pl.Job = j
-			} else if other.Attempt < pl.Attempt {
-				other.Job.Placed--
-				other.Job = nil
-				j.Tasks[index].Place = nil
-				pl.Job = j
-			}
-			if pl.Job != nil && j.Gang() {
-				j.GangAttempt = max(j.GangAttempt, pl.Attempt)
-			}
+		if jobID, index, ok := wire.SplitTask(r.Task); ok {
+			c.restorePlace(c.jobs[jobID], &sched.Placement{Index: index, Task: r.Task, Attempt: r.Attempt, Machine: m,
+				Session: r.Session, Need: sched.Need{CPUs: r.CPUs, GPUs: r.GPUs, Memory: r.Memory}, Team: r.Team,
+				Priority: r.Priority, Image: r.Image})
+		}
+	}
+}
+
+// restorePlace enters a placement from a record. A record may still hold a task
+// that is done, or one that has since been placed elsewhere after its absence
+// was proven; the highest attempt is the current one.
+func (c *Core) restorePlace(j *sched.Job, pl *sched.Placement) {
+	if old := pl.Machine.Places[pl.Task]; old != nil && old.Attempt >= pl.Attempt {
+		old.InJob = old.InJob || pl.InJob && old.Attempt == pl.Attempt
+		return
+	}
+	pl.Committed, pl.Sent, pl.Inherited = true, true, true
+	if j != nil && pl.Index < len(j.Tasks) && j.Tasks[pl.Index].State != sched.Done {
+		if other := j.Tasks[pl.Index].Place; other == nil {
+			pl.Job = j
+		} else if other.Attempt < pl.Attempt {
+			other.Job.Placed--
+			other.Job = nil
+			j.Tasks[pl.Index].Place = nil
+			pl.Job = j
+		}
+		if pl.Job != nil && j.Gang() {
+			j.GangAttempt = max(j.GangAttempt, pl.Attempt)
 		}
-		sched.Attach(pl, c.teams)
 	}
+	sched.Attach(pl, c.teams)
 }
 
 func (c *Core) restoreLearnt(value []byte) {
@@ -403,21 +592,62 @@
 	if !c.lead.Leading() || c.term != term {
 		return
 	}
-	c.commit.put(learntKey, func() []byte {
-		rec := learntRecord{At: int64(c.env.Wall()), Use: map[string]float64{},
-			Rates: c.rates, Arrivals: map[string]float64{}, Since: map[string]int64{}, Batch: map[string]bool{}}
-		now := c.env.Now()
-		for name, t := range c.teams {
-			t.Decay(now, c.pol.UseWindow)
-			rec.Use[name] = t.Use
+	c.commit.put(learntKey, func() []byte { return c.learnt(c.limits().ValueBytes()) }, nil)
+	c.env.After(10*clock.Second, func() { c.saveLearnt(term) })
+}
+
+// learnt renders what was learnt in at most limit bytes. Where that is too
+// little, the classes that ask for least are left out first; what is not there
+// is learnt again.
+func (c *Core) learnt(limit int) []byte {
+	rec := learntRecord{At: int64(c.env.Wall()), Use: map[string]float64{},
+		Rates: map[string]float64{}, Arrivals: map[string]float64{}, Since: map[string]int64{}, Batch: map[string]bool{}}
+	now := c.env.Now()
+	for name, r := range c.rates {
+		rec.Rates[name] = short(r)
+	}
+	for name, t := range c.teams {
+		t.Decay(now, c.pol.UseWindow)
+		rec.Use[name] = short(t.Use)
+	}
+	for class, a := range c.arrivals {
+		rec.Arrivals[class], rec.Batch[class] = short(a.now(now)), a.batch
+		rec.Since[class] = c.wall(a.since)
+	}
+	value := wire.Encode(&rec)
+	for wire.JSONSize(value) > limit {
+		class, least := "", math.Inf(1)
+		for _, name := range slices.Sorted(maps.Keys(rec.Arrivals)) {
+			if rec.Arrivals[name] < least {
+				class, least = name, rec.Arrivals[name]
+			}
 		}
-		for class, a := range c.arrivals {
-			rec.Arrivals[class], rec.Batch[class] = a.now(now), a.batch
-			rec.Since[class] = int64(a.since - now + c.env.Wall())
+		switch {
+		case class != "":
+			delete(rec.Arrivals, class)
+			delete(rec.Since, class)
+			delete(rec.Batch, class)
+		case len(rec.Rates) > 0:
+			rec.Rates = nil
+		default:
+			rec.Use = nil
+			return wire.Encode(&rec)
 		}
-		return wire.Encode(&rec)
-	}, nil)
-	c.env.After(10*clock.Second, func() { c.saveLearnt(term) })
+		value = wire.Encode(&rec)
+	}
+	return value
+}
+
+// short rounds to six digits, which is more than is known.
+func short(x float64) float64 {
+	if x == 0 || math.IsNaN(x) || math.IsInf(x, 0) {
+		return 0
+	}
+	unit := math.Pow(10, math.Floor(math.Log10(math.Abs(x)))-5)
+	if unit >= 1 {
+		return math.Round(x/unit) * unit
+	}
+	return math.Round(x/unit) / math.Round(1/unit)
 }
 
 // watchJobs follows the jobs that other nodes accept.
@@ -431,11 +661,13 @@
 		}
 		switch o {
 		case store.OK:
+			items := make([]wire.Item, 0, len(a.Events))
 			for _, e := range a.Events {
-				if e.Put != "" && !strings.HasSuffix(e.Put, progressTail) {
-					c.addRecord(e.Value)
+				if e.Put != "" {
+					items = append(items, wire.Item{Key: e.Put, Value: e.Value})
 				}
 			}
+			c.addRecords(items, nil)
 			if len(a.Events) > 0 {
 				c.wake()
 			}
@@ -443,11 +675,7 @@
 		case store.Gone:
 			c.listAll(func() bool { return c.lead.Leading() && c.term == term }, jobPrefix,
 				func(items []wire.Item, revision uint64) {
-					for i := range items {
-						if !strings.HasSuffix(items[i].Key, progressTail) {
-							c.addRecord(items[i].Value)
-						}
-					}
+					c.addRecords(items, nil)
 					c.wake()
 					c.watchJobs(term, revision)
 				})
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -178,7 +178,7 @@
 func (c *Core) stray(m *sched.Machine, t *wire.TaskReport, now Micros) (wire.Command, bool) {
 	jobID, index, _ := wire.SplitTask(t.Task)
 	j := c.jobs[jobID]
-	free := j != nil && j.Active() && index < len(j.Tasks) && j.Tasks[index].State == sched.Pending && !j.Gang()
+	free := j != nil && j.Active() && !j.Waiting() && index < len(j.Tasks) && j.Tasks[index].State == sched.Pending && !j.Gang()
 	if t.State == wire.TaskExited {
 		if !free || t.Cause != wire.CauseDone {
 			return wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt}, true
@@ -193,7 +193,11 @@
 		Committed: true, Sent: true, Inherited: true}
 	j.Queue = slices.DeleteFunc(j.Queue, func(i int32) bool { return int(i) == index })
 	sched.Attach(p, c.teams)
-	c.saveMachine(m, func() {})
+	if c.up.level < LevelTasks {
+		c.saveMachine(m, func() {})
+	} else {
+		c.savePlace(p)
+	}
 	return wire.Command{}, false
 }
 
@@ -293,7 +297,12 @@
 		c.commitEnd(j, committed)
 		return
 	}
-	c.saveProgress(j, c.during(committed))
+	if c.up.level < LevelTasks {
+		c.saveProgress(j, atOnce, c.during(committed))
+		return
+	}
+	// The task's room is free already: its end may wait a little for others.
+	c.saveTasks(j, p.Index, merged, c.during(committed))
 }
 
 // failed blames the machine, or the job when it fails everywhere.
@@ -338,15 +347,20 @@
 	if !p.Machine.Busy() {
 		p.Machine.IdleSince = now
 	}
-	c.saveMachine(p.Machine, nil)
+	if c.up.level < LevelTasks || p.Committed && !p.InJob {
+		c.saveMachine(p.Machine, nil)
+	}
 	c.wake()
 	j := p.Job
 	if j == nil {
 		return
 	}
+	if c.up.level >= LevelTasks && !j.Ended && !(p.Exited && j.Tasks[p.Index].State == sched.Done) {
+		c.saveTasks(j, p.Index, whenIdle, nil)
+	}
 	if t := &j.Tasks[p.Index]; t.State == sched.Placed {
 		t.State = sched.Pending
-		if j.Active() && !j.Gang() {
+		if j.Active() && !j.Waiting() && !j.Gang() {
 			j.Queue = append([]int32{int32(p.Index)}, j.Queue...)
 		}
 	}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"log/slog"
+	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -23,9 +23,9 @@
 }
 
 type submission struct {
-	job   *wire.Job
-	value []byte
-	reply func(Answer)
+	job     *wire.Job
+	changes []wire.Change // its record first
+	reply   func(Answer)
 }
 
 // maxWaiting bounds the submissions that wait for the state service.
@@ -88,19 +88,87 @@
 			return
 		}
 	}
+	if len(job.Awaits) == 0 {
+		c.enqueue(job, reply)
+		return
+	}
+	c.judge(job, func(v verdict) {
+		if v.why == "" && !v.unknown {
+			c.enqueue(job, reply)
+			return
+		}
+		// A job that was accepted stays accepted, whatever it is said to await now.
+		c.Status(job.ID, func(a Answer) {
+			switch {
+			case a.Code != 404:
+			case v.why != "":
+				a = Answer{Code: 422, Status: wire.JobStatus{ID: v.why}}
+			default:
+				a = unavailable
+			}
+			reply(a)
+		})
+	})
+}
+
+// enqueue lets a submission wait for the next transaction.
+func (c *Core) enqueue(job *wire.Job, reply func(Answer)) {
 	if len(c.intake.waiting) >= maxWaiting {
 		reply(Answer{Code: 429, RetryAfter: 2})
 		return
 	}
-	value := wire.Encode(&jobRecord{Job: *job, At: int64(c.env.Wall())})
-	if float64(2*len(value)) > c.cfg.Params.State.ValueKB*1024 {
-		reply(Answer{Code: 400, Status: wire.JobStatus{ID: "too large"}})
+	changes, why := c.jobChanges(job)
+	if why != "" {
+		reply(Answer{Code: 400, Status: wire.JobStatus{ID: why}})
 		return
 	}
-	c.intake.waiting = append(c.intake.waiting, &submission{job, value, reply})
+	c.intake.waiting = append(c.intake.waiting, &submission{job, changes, reply})
 	c.takeIn()
 }
 
+func awaitsKey(job string, part int) string {
+	return fmt.Sprintf("%s%s%s%04d", jobPrefix, job, awaitsTail, part)
+}
+
+// jobChanges renders the record of a job; what its awaits don't fit in beside it
+// goes into keys of its own, written in the same transaction.
+func (c *Core) jobChanges(job *wire.Job) ([]wire.Change, string) {
+	limits := c.limits()
+	limit := limits.ValueBytes()
+	rec := jobRecord{Job: *job, At: int64(c.env.Wall())}
+	value := wire.Encode(&rec)
+	changes := []wire.Change{{Put: jobPrefix + job.ID}}
+	if wire.JSONSize(value) > limit {
+		rec.Job.Awaits, rec.Parts = nil, 1
+		value = wire.Encode(&rec)
+		if wire.JSONSize(value) > limit-16 {
+			return nil, fmt.Sprintf("too large: a job's record may take %d bytes beside its awaits", limit-16)
+		}
+		var part awaitsRecord
+		size := 0
+		flush := func() {
+			changes = append(changes, wire.Change{Put: awaitsKey(job.ID, len(changes)-1), Value: wire.Encode(&part)})
+			part, size = awaitsRecord{}, 0
+		}
+		for _, id := range job.Awaits {
+			n := len(id) + 3
+			if size+n > limit-16 {
+				flush()
+			}
+			part.Awaits = append(part.Awaits, id)
+			size += n
+		}
+		flush()
+		rec.Parts = len(changes) - 1
+		value = wire.Encode(&rec)
+	}
+	changes[0].Value = value
+	if size := changesSize(changes) + txnRest; len(changes) > limits.TxnOps || size > wire.MaxBody {
+		return nil, fmt.Sprintf("awaits: too long, a job may take %d records of %d bytes and %d in all", limits.TxnOps, limit, wire.MaxBody-txnRest)
+	}
+	return changes, ""
+}
+
 // impossible says why a job can never run, or "".
 func (c *Core) impossible(job *wire.Job) string {
 	limit := sched.Team{}
@@ -142,8 +210,8 @@
 		return
 	}
 	now := c.env.Now()
-	room := min(c.cfg.Params.State.TxnOps, int(c.writes.TokensAt(stdTime(now))))
-	if room < 1 {
+	tokens := int(c.writes.TokensAt(stdTime(now)))
+	if tokens < min(len(c.intake.waiting[0].changes), c.writes.Burst()) {
 		c.intake.busy = true
 		c.env.After(50*clock.Millisecond, func() {
 			c.intake.busy = false
@@ -151,32 +219,36 @@
 		})
 		return
 	}
+	room := min(c.limits().TxnOps, tokens)
 	txn := &wire.Txn{}
 	var batch, later []*submission
 	seen := map[string]bool{}
-	bytes := 0
+	bytes := txnRest
 	for _, s := range c.intake.waiting {
-		bytes += 2 * len(s.value)
-		if len(batch) >= room || seen[s.job.ID] || bytes > wire.MaxBody*3/4 && len(batch) > 0 {
+		bytes += changesSize(s.changes) + 4*changeRest // with its guards
+		if len(batch) > 0 && (len(txn.Then)+len(s.changes) > room || bytes > wire.MaxBody) || seen[s.job.ID] {
 			later = append(later, s)
 			continue
 		}
 		seen[s.job.ID] = true
 		batch = append(batch, s)
 		txn.If = append(txn.If, wire.Guard{Key: jobPrefix + s.job.ID}, wire.Guard{Key: finalPrefix + s.job.ID})
-		txn.Then = append(txn.Then, wire.Change{Put: jobPrefix + s.job.ID, Value: s.value})
+		txn.Then = append(txn.Then, s.changes...)
 	}
 	c.intake.waiting = later
 	c.intake.busy = true
-	c.writes.AllowN(stdTime(now), len(batch))
+	c.writes.AllowN(stdTime(now), min(len(txn.Then), tokens))
 	c.env.State().Txn(txn, func(o store.Outcome, a *wire.TxnAnswer) {
 		c.intake.busy = false
 		switch o {
 		case store.OK:
 			c.stateSeen = c.env.Now()
 			for _, s := range batch {
+				if s.job.Kind != wire.KindService {
+					c.noteAccepted(s.job.ID)
+				}
 				if c.lead.Leading() && c.loaded {
-					c.addRecord(s.value)
+					c.addSubmitted(s)
 					c.wake()
 				}
 				s.reply(Answer{Code: 201, Status: wire.JobStatus{ID: s.job.ID, Phase: wire.PhaseQueued}})
@@ -203,6 +275,8 @@
 				}
 			}
 			c.intake.waiting = append(again, c.intake.waiting...)
+		case store.Invalid:
+			c.resubmit(batch, txn.Then)
 		default:
 			// Perhaps created, perhaps not: the user asks again and finds out.
 			for _, s := range batch {
@@ -213,6 +287,30 @@
 	})
 }
 
+// addSubmitted enters a job that this node, the leader, has just created.
+func (c *Core) addSubmitted(s *submission) {
+	items := make([]wire.Item, 0, len(s.changes))
+	for _, ch := range s.changes {
+		items = append(items, wire.Item{Key: ch.Put, Value: ch.Value})
+	}
+	c.addRecords(items, nil)
+}
+
+// resubmit deals with submissions that the state service called invalid. If that
+// shows that its limits are lower now, they are rendered again under those;
+// otherwise one of them is at fault, and all are asked to come again one by one.
+func (c *Core) resubmit(batch []*submission, changes []wire.Change) {
+	if !c.refusedForSize(changes) {
+		for _, s := range batch {
+			s.reply(unavailable)
+		}
+		return
+	}
+	for _, s := range batch {
+		c.enqueue(s.job, s.reply)
+	}
+}
+
 // Status answers a user's query: from memory on the leader, otherwise from the
 // leader, otherwise from the state service, which holds every state that a
 // user was ever told.
@@ -243,7 +341,7 @@
 		return
 	}
 	if s, ok := c.finals[id]; ok {
-		reply(Answer{Code: 200, Status: s})
+		reply(Answer{Code: 200, Status: s.JobStatus})
 		return
 	}
 	c.lookup(id, reply)
@@ -279,7 +377,7 @@
 		return
 	}
 	term, leading := c.term, c.lead.Leading()
-	c.env.State().List(jobPrefix+id, "", 4, func(o store.Outcome, l *wire.ItemList) {
+	c.env.State().List(jobPrefix+id, "", lookupItems, func(o store.Outcome, l *wire.ItemList) {
 		if o != store.OK {
 			reply(unavailable)
 			return
@@ -305,20 +403,19 @@
 					st.Phase = wire.PhaseRunning
 				}
 				if leading && c.serving() && c.term == term {
-					c.addRecord(record) // the watch has not brought it yet
+					c.addRecords(l.Items, nil) // the watch has not brought it yet
 					c.wake()
 				}
 			}
 			reply(Answer{Code: 200, Status: st})
 			return
 		}
-		c.env.State().Get(finalPrefix+id, func(o store.Outcome, it *wire.Item) {
-			var st wire.JobStatus
+		c.readFinal(id, func(f *finalRecord, absent bool) {
 			switch {
-			case o == store.Failed:
+			case f != nil:
+				reply(Answer{Code: 200, Status: f.JobStatus})
+			case absent:
 				reply(Answer{Code: 404})
-			case o == store.OK && msgpack.Unmarshal(it.Value, &st) == nil && st.Phase != "":
-				reply(Answer{Code: 200, Status: st})
 			default:
 				reply(unavailable)
 			}
@@ -326,6 +423,10 @@
 	})
 }
 
+// lookupItems is enough for a job with its progress and the parts of its awaits;
+// what is cut off of those is left to the watch.
+const lookupItems = 16
+
 // Cancel cancels a job for a user.
 func (c *Core) Cancel(id string, reply func(Answer)) {
 	if c.serving() {
@@ -364,36 +465,43 @@
 		})
 		return
 	}
-	if j.Shown != "" {
-		reply(Answer{Code: 200, Status: statusOf(j)})
+	told := func() { reply(Answer{Code: 200, Status: statusOf(j)}) }
+	if j.Shown == wire.PhaseDone || j.Ended && !j.Cancelled {
+		c.commitEnd(j, told)
 		return
 	}
-	if !j.Ended {
-		slog.Debug("cancel", "job", id)
-		j.Cancelled, j.Ended, j.Queue = true, true, nil
-		c.dropUnsent(j)
-		c.wake()
-	}
-	c.commitEnd(j, func() { reply(Answer{Code: 200, Status: statusOf(j)}) })
+	c.cancelWith(j, told)
 }
 
 // commitEnd writes a job's end and tells it once it is committed.
 func (c *Core) commitEnd(j *sched.Job, then func()) {
-	c.saveProgress(j, c.during(func() {
-		if j.Shown == "" {
+	if j.Shown != "" {
+		if then != nil {
+			then()
+		}
+		return
+	}
+	c.saveProgress(j, atOnce, c.during(func() {
+		first := j.Shown == ""
+		if first {
 			j.Shown = wire.PhaseDone
 			if j.Cancelled {
 				j.Shown = wire.PhaseCancelled
 			}
+			j.Over = c.overAt(j.Over)
 		}
 		if then != nil {
 			then()
 		}
+		if !first {
+			return
+		}
 		for i := range j.Tasks {
-			if p := j.Tasks[i].Place; p != nil && p.Machine != nil && !p.Exited {
+			if p := j.Tasks[i].Place; p != nil && !p.Exited {
 				c.orderSoon(p.Machine)
 			}
 		}
+		c.over(j)
 		c.archive(j)
 	}))
 	c.commit.pump()
--- a/internal/peer/msg.go
+++ b/internal/peer/msg.go
@@ -24,6 +24,8 @@
 	Phase   string
 	Done    int
 	Running int
+	Speaks  int // the sender's highest format level; 0 from version 0.1
+	Level   int // the format level in force
 }
 
 // MaxFrame bounds a frame.
@@ -54,6 +56,8 @@
 	fb.MessageAddPhase(b, phase)
 	fb.MessageAddDone(b, uint32(m.Done))
 	fb.MessageAddRunning(b, uint32(m.Running))
+	fb.MessageAddSpeaks(b, byte(m.Speaks))
+	fb.MessageAddLevel(b, byte(m.Level))
 	b.Finish(fb.MessageEnd(b))
 	return b.FinishedBytes()
 }
@@ -74,6 +78,7 @@
 		ID: t.Id(), Kind: t.Kind(), Node: string(t.Node()), Term: t.Term(),
 		StateOK: t.StateOk(), Reports: t.Reports(), Job: string(t.Uid()),
 		Code: int(t.Code()), Phase: string(t.Phase()), Done: int(t.Done()), Running: int(t.Running()),
+		Speaks: int(t.Speaks()), Level: int(t.Level()),
 	}
 	if body := t.BodyBytes(); body != nil {
 		m.Body = append([]byte(nil), body...)
--- /dev/null
+++ b/internal/sched/graph.go
@@ -0,0 +1,123 @@
+package sched
+
+import (
+	"slices"
+
+	"lilacthread/internal/clock"
+	"lilacthread/wire"
+)
+
+// The first tier [V.A]: what the graph of a pipeline means for each of its jobs.
+// The jobs that need a job wait while it waits, so nothing of theirs changes but
+// by a new edge or a cancellation, and only what lies before such a change is
+// worked out again.
+
+// Init sets a new job's own values, to which those of its pipeline are added as
+// Link brings them.
+func (j *Job) Init() {
+	j.Priority, j.Start, j.Deadline = wire.PriorityOf(j.Spec.Priority), j.Submitted, j.ownDeadline()
+}
+
+// Rank is HEFT's upward rank: the expected run time plus the largest rank among
+// the jobs that wait on it.
+func (j *Job) Rank() Micros { return j.Estimate + j.tail }
+
+// Waiting reports whether the job must not start yet.
+func (j *Job) Waiting() bool { return j.Blocked > 0 }
+
+// Link notes that j needs n. Whether it still waits for it is for the caller to
+// say, in Blocked.
+func Link(j, n *Job) {
+	j.Before, n.After = append(j.Before, n), append(n.After, j)
+	j.startFrom(n.Start)
+	n.inherit()
+}
+
+// Unlink forgets what j needs, once it is ready or over, and returns that.
+func Unlink(j *Job) []*Job {
+	before := j.Before
+	j.Before = nil
+	for _, n := range before {
+		n.After = slices.DeleteFunc(n.After, func(o *Job) bool { return o == j })
+		n.inherit()
+	}
+	return before
+}
+
+// startFrom hands an earlier start on to all that need j.
+func (j *Job) startFrom(start Micros) {
+	if start >= j.Start {
+		return
+	}
+	j.Start = start
+	for _, d := range j.After {
+		d.startFrom(start)
+	}
+}
+
+// inherit works out again what the jobs that need j ask of it, and if that
+// changed, the same for what j itself needs.
+func (j *Job) inherit() {
+	tail, deadline, priority := Micros(0), j.ownDeadline(), wire.PriorityOf(j.Spec.Priority)
+	for _, d := range j.After {
+		tail = max(tail, d.Rank())
+		priority = max(priority, d.Priority)
+		if d.Deadline < clock.Forever {
+			deadline = min(deadline, d.Deadline-d.Estimate)
+		}
+	}
+	if tail == j.tail && deadline == j.Deadline && priority == j.Priority {
+		return
+	}
+	j.tail, j.Deadline = tail, deadline
+	if priority != j.Priority {
+		j.Priority = priority
+		for i := range j.Tasks { // what runs already is protected as well
+			if p := j.Tasks[i].Place; p != nil {
+				p.setPriority(priority)
+			}
+		}
+	}
+	for _, n := range j.Before {
+		n.inherit()
+	}
+}
+
+// ownDeadline is the deadline that the owner gave the job itself.
+func (j *Job) ownDeadline() Micros {
+	if j.Spec.Deadline == nil {
+		return clock.Forever
+	}
+	return j.Submitted + clock.FromSeconds(*j.Spec.Deadline)
+}
+
+// setPriority keeps the machine's sum of production work right.
+func (p *Placement) setPriority(priority int) {
+	if !p.Exited {
+		p.Machine.hold(p, -1)
+	}
+	p.Priority = priority
+	if !p.Exited {
+		p.Machine.hold(p, 1)
+	}
+}
+
+// Dependents lists all jobs that need j, directly or through others, each after
+// those that it needs among them.
+func (j *Job) Dependents() []*Job {
+	var out []*Job
+	seen := map[*Job]bool{j: true}
+	var visit func(*Job)
+	visit = func(n *Job) {
+		for _, d := range n.After {
+			if !seen[d] {
+				seen[d] = true
+				visit(d)
+				out = append(out, d)
+			}
+		}
+	}
+	visit(j)
+	slices.Reverse(out)
+	return out
+}
--- /dev/null
+++ b/internal/sched/graph_test.go
@@ -0,0 +1,72 @@
+package sched
+
+import (
+	"testing"
+
+	"lilacthread/internal/clock"
+	"lilacthread/wire"
+)
+
+// TestGraph follows a diamond a -> b, c -> d as its jobs are linked, its last
+// stage late, and one of them cancelled: rank, latest start, inherited priority
+// and the pipeline's start, in seconds.
+func TestGraph(t *testing.T) {
+	const s = clock.Second
+	a := job("a", wire.PriorityLow, 1, 10, 0)
+	b := job("b", wire.PriorityLow, 2, 20, 0)
+	c := job("c", wire.PriorityNormal, 3, 30, 0)
+	d := job("d", wire.PriorityHigh, 9, 5, 0)
+	due := 91.0 // after 9 s: at 100 s
+	d.Spec.Deadline = &due
+	d.Init()
+	type want struct {
+		job                   *Job
+		rank, start, deadline Micros // deadline 0: none
+		priority              int
+	}
+	check := func(when string, wants ...want) {
+		t.Helper()
+		for _, w := range wants {
+			deadline := w.deadline * s
+			if w.deadline == 0 {
+				deadline = clock.Forever
+			}
+			if j := w.job; j.Rank() != w.rank*s || j.Start != w.start*s || j.Deadline != deadline || j.Priority != w.priority {
+				t.Errorf("%s: %s: rank %v, start %v, deadline %v, priority %d; want %+v", when, j.ID,
+					j.Rank().Seconds(), j.Start.Seconds(), j.Deadline.Seconds(), j.Priority, w)
+			}
+		}
+	}
+	low, normal, high := wire.PriorityLow, wire.PriorityNormal, wire.PriorityHigh
+	Link(b, a)
+	Link(c, a)
+	check("without the last stage", want{a, 40, 1, 0, normal}, want{b, 20, 1, 0, low}, want{c, 30, 1, 0, normal})
+	m := &Machine{Type: &wire.MachineType{CPUs: 8}, Places: map[string]*Placement{}}
+	a.Tasks = make([]Task, 1)
+	Attach(&Placement{Job: a, Task: "a/0", Machine: m, Need: Need{CPUs: 2}, Priority: a.Priority}, nil)
+	Link(d, b)
+	Link(d, c)
+	check("whole", want{a, 45, 1, 65, high}, want{b, 25, 1, 95, high}, want{c, 35, 1, 95, high}, want{d, 5, 1, 100, high})
+	if p := a.Tasks[0].Place; p.Priority != high || m.held.CPUs != 2 {
+		t.Errorf("a running task did not inherit: %+v", p)
+	}
+	if got := a.Dependents(); len(got) != 3 || got[2] != d {
+		t.Errorf("dependents of a: %d, the last is not d", len(got))
+	}
+	Unlink(d)
+	check("last stage cancelled", want{a, 40, 1, 0, normal}, want{b, 20, 1, 0, low}, want{c, 30, 1, 0, normal})
+	Unlink(c)
+	check("c cancelled", want{a, 30, 1, 0, low})
+	prod := job("p", wire.PriorityProduction, 4, 1, 0)
+	Link(prod, a)
+	if m.Production() != 2 {
+		t.Errorf("production work holds %v CPUs, want 2", m.Production())
+	}
+	Unlink(prod)
+	if m.Production() != 0 {
+		t.Errorf("production work holds %v CPUs, want 0", m.Production())
+	}
+	early := job("early", wire.PriorityLow, 0, 1, 0)
+	Link(a, early)
+	check("an earlier job before it", want{a, 30, 0, 0, low}, want{b, 20, 0, 0, low})
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -54,9 +54,9 @@
 		return cmp.Or(
 			cmp.Compare(a.urgency(now), b.urgency(now)),
 			cmp.Compare(b.Priority, a.Priority),
-			cmp.Compare(b2i(b.Spec.Deadline != nil), b2i(a.Spec.Deadline != nil)),
+			cmp.Compare(b2i(b.Deadline < clock.Forever), b2i(a.Deadline < clock.Forever)),
 			cmp.Compare(use(a), use(b)),
-			cmp.Compare(a.Submitted, b.Submitted),
+			cmp.Compare(a.Start, b.Start),
 			cmp.Compare(b.Rank(), a.Rank()),
 			cmp.Compare(a.ID, b.ID),
 		)
@@ -169,14 +169,14 @@
 // place that is warm for them, and the machines spend less time fetching.
 func (p *pass) placeLevel(jobs []*Job) {
 	if jobs[0].Priority < wire.PriorityHigh {
-		oldest := clock.Forever // submission of the first job that is passed over
+		oldest := clock.Forever // when the first job that is passed over became ready
 		for _, j := range jobs {
-			if j.Gang() || j.Submitted > oldest+p.Patience {
+			if j.Gang() || j.Ready > oldest+p.Patience {
 				continue
 			}
 			p.placeEach(j, true)
 			if len(j.Queue) > 0 {
-				oldest = min(oldest, j.Submitted)
+				oldest = min(oldest, j.Ready)
 			}
 		}
 	}
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -38,6 +38,9 @@
 	job := func() *wire.Job {
 		return &wire.Job{ID: id, Team: "core", Kind: wire.KindArray, Tasks: 2, CPUs: 2, Zone: "a"}
 	}
+	after := func() *wire.Job {
+		return &wire.Job{ID: "req-000002", Team: "core", Kind: wire.KindArray, Tasks: 1, Awaits: []string{id}}
+	}
 	cases := map[string]func(c *Checker){
 		"ran_twice": func(c *Checker) {
 			c.Started(0, task, "m-1", "t", "a", false)
@@ -67,6 +70,18 @@
 			c.Polled(id, c.Asking(id), told(wire.PhaseDone))
 			c.Polled(id, c.Asking(id), told(wire.PhaseRunning))
 		},
+		"too_early": func(c *Checker) {
+			c.Known(after())
+			c.Started(0, "req-000002/0", "m-1", "t", "a", false)
+		},
+		"orphaned": func(c *Checker) {
+			c.Known(after())
+			c.Submitted("req-000002", c.Asking("req-000002"), controller.Answer{Code: 201, Status: wire.JobStatus{Phase: wire.PhaseQueued}})
+			c.AskedCancel(id)
+			c.ToldCancelled(id, 40*sec)
+			c.Now = func() Micros { return 41 * sec }
+			c.Polled("req-000002", c.Asking("req-000002"), controller.Answer{Code: 200, Status: wire.JobStatus{Phase: wire.PhaseQueued}})
+		},
 		"nothing_ran": func(c *Checker) { c.Finish() },
 	}
 	for rule, break_ := range cases {
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -26,6 +26,13 @@
 	Late     map[string]Micros // nodes whose next transaction is applied this much later, with no answer
 	LateKeys string            // of those, only transactions that write a key with this prefix
 	Lost     map[string]bool   // nodes whose next transaction is applied, with no answer
+
+	Rate    float64 // changes a second in place of the settings'; 0: those
+	tokens  float64 // changes that may be made now
+	filled  Micros
+	Next    bool // the next limits are in force
+	Largest int  // the largest value asked for
+	Refused int  // transactions refused with 400 or 429
 }
 
 type lease struct {
@@ -42,7 +49,7 @@
 
 func newState(w *World) *State {
 	s := &State{w: w, items: map[string]*wire.Item{}, leases: map[uint64]*lease{},
-		Refuse: map[string]bool{}, Late: map[string]Micros{}, Lost: map[string]bool{}}
+		Refuse: map[string]bool{}, Late: map[string]Micros{}, Lost: map[string]bool{}, tokens: 1e9}
 	var expire func()
 	expire = func() {
 		if !s.Outage {
@@ -173,6 +180,37 @@
 	return store.OK, a
 }
 
+// judge applies the limits of the settings, or the next ones once they are in
+// force, to a transaction.
+func (s *State) judge(t *wire.Txn) store.Outcome {
+	limits := s.w.Config.Params.State
+	if s.Next {
+		limits = limits.Lowest()
+	}
+	if s.Rate > 0 {
+		limits.WriteRPS = s.Rate
+	}
+	invalid := len(t.Then) > limits.TxnOps || len(t.If) > 4*limits.TxnOps || wire.TxnSize(t) > wire.MaxBody
+	for _, c := range t.Then {
+		if c.Value != nil {
+			s.Largest = max(s.Largest, wire.JSONSize(c.Value))
+			invalid = invalid || wire.JSONSize(c.Value) > limits.ValueBytes()
+		}
+	}
+	s.tokens = min(limits.WriteRPS, s.tokens+(s.w.now-s.filled).Seconds()*limits.WriteRPS)
+	s.filled = s.w.now
+	switch {
+	case invalid:
+		s.Refused++
+		return store.Invalid
+	case s.tokens < float64(len(t.Then)):
+		s.Refused++
+		return store.Limited
+	}
+	s.tokens -= float64(len(t.Then))
+	return store.OK
+}
+
 // stateClient is the service as one node reaches it.
 type stateClient struct{ e *env }
 
@@ -230,6 +268,9 @@
 	lost := s.Lost[name]
 	delete(s.Lost, name)
 	c.call(func() func() {
+		if o := s.judge(t); o != store.OK {
+			return func() { done(o, &wire.TxnAnswer{}) }
+		}
 		o, a := s.txn(t)
 		if lost {
 			return func() { c.e.After(1500*ms, func() { done(store.Unknown, &wire.TxnAnswer{}) }) }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -93,6 +93,7 @@
 	w.State = newState(w)
 	w.Cloud = newCloud(w)
 	w.Rules = NewChecker()
+	w.Rules.Now = func() Micros { return w.now }
 	for i := range nodes {
 		w.Nodes = append(w.Nodes, &Node{w: w, name: fmt.Sprintf("node-%d", i)})
 	}
@@ -176,6 +177,7 @@
 	w    *World
 	name string
 	life int
+	old  bool // comes up with the version in production
 	core *controller.Core
 }
 
@@ -196,7 +198,11 @@
 		}
 	}
 	e := &env{n: n, life: n.life}
-	n.core = controller.New(e, &cfg, n.w.pol, n.w.rng.Uint64())
+	level := controller.LevelTasks
+	if n.old {
+		level = controller.LevelPlaces
+	}
+	n.core = controller.NewAt(e, &cfg, n.w.pol, n.w.rng.Uint64(), level)
 	n.core.Start()
 }
 
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -46,11 +46,18 @@
 			}
 		case status == http.StatusGone:
 			o = Gone
+		case status == http.StatusTooManyRequests:
+			o = Limited
+		case status == http.StatusBadRequest:
+			var p wire.Problem
+			if wire.Decode(raw, &p) == nil && p.Error == noSuchLease {
+				o = Refused
+				break
+			}
+			o = Invalid
+			slog.Info("state service refused a request", "method", method, "path", path, "why", p.Error)
 		case status == http.StatusServiceUnavailable, status >= 400 && status < 500:
 			o = Refused
-			if status == http.StatusBadRequest {
-				slog.Error("state service refused a request", "method", method, "path", path, "body", string(raw))
-			}
 		}
 		if o == Unknown {
 			slog.Debug("state service", "path", path, "status", status, "err", err)
@@ -59,6 +66,9 @@
 	}()
 }
 
+// noSuchLease is the protocol's error for a change that hangs on an ended lease.
+const noSuchLease = "no such lease"
+
 type none struct{}
 
 // List reads a page of keys.
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -212,6 +212,7 @@
 		Types: f.texts("looms"), Zone: f.optionalText("bolt"),
 		OneZone: f.flag("together"), Spread: f.flag("apart"), Spot: f.flag("remnant"),
 		Estimate: f.number("expect_s"), Checkpoint: f.number("knot_s"), Save: f.number("tie_s"),
+		Awaits: distinct(f.texts("awaits")),
 	}
 	if v, ok := m["due_s"]; ok && v != nil {
 		d := f.number("due_s")
@@ -304,6 +305,19 @@
 	return out
 }
 
+// distinct drops repeated texts; an empty list becomes nil.
+func distinct(list []string) []string {
+	var out []string
+	seen := make(map[string]bool, len(list))
+	for _, s := range list {
+		if !seen[s] {
+			seen[s] = true
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func (f *fields) flag(name string) bool {
 	b, ok := f.m[name].(bool)
 	if !ok {
--- a/wire/fb/Message.go
+++ b/wire/fb/Message.go
@@ -187,8 +187,32 @@
 	return rcv._tab.MutateUint32Slot(26, n)
 }
 
+func (rcv *Message) Speaks() byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(28))
+	if o != 0 {
+		return rcv._tab.GetByte(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Message) MutateSpeaks(n byte) bool {
+	return rcv._tab.MutateByteSlot(28, n)
+}
+
+func (rcv *Message) Level() byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.GetByte(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Message) MutateLevel(n byte) bool {
+	return rcv._tab.MutateByteSlot(30, n)
+}
+
 func MessageStart(builder *flatbuffers.Builder) {
-	builder.StartObject(12)
+	builder.StartObject(14)
 }
 func MessageAddId(builder *flatbuffers.Builder, id uint64) {
 	builder.PrependUint64Slot(0, id, 0)
@@ -229,6 +253,12 @@
 func MessageAddRunning(builder *flatbuffers.Builder, running uint32) {
 	builder.PrependUint32Slot(11, running, 0)
 }
+func MessageAddSpeaks(builder *flatbuffers.Builder, speaks byte) {
+	builder.PrependByteSlot(12, speaks, 0)
+}
+func MessageAddLevel(builder *flatbuffers.Builder, level byte) {
+	builder.PrependByteSlot(13, level, 0)
+}
 func MessageEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- /dev/null
+++ b/wire/size.go
@@ -0,0 +1,139 @@
+package wire
+
+import (
+	"encoding/binary"
+	"math"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// JSONSize is the length of a MessagePack value in its JSON form, without
+// white space: the form in which the protocol counts sizes. Decimal numbers
+// keep a point, as 4.0 does. The value must be one that Check accepts.
+func JSONSize(value []byte) int {
+	n, _ := jsonSize(value)
+	return n
+}
+
+// TxnSize is the JSON length of a transaction's body.
+func TxnSize(t *Txn) int { return JSONSize(Encode(t)) }
+
+// jsonSize measures the value at the beginning of b and tells how many bytes
+// of b it takes.
+func jsonSize(b []byte) (size, used int) {
+	if len(b) == 0 {
+		return 0, 0
+	}
+	c := b[0]
+	be := func(width int) uint64 {
+		if len(b) < 1+width {
+			return 0
+		}
+		switch width {
+		case 1:
+			return uint64(b[1])
+		case 2:
+			return uint64(binary.BigEndian.Uint16(b[1:]))
+		case 4:
+			return uint64(binary.BigEndian.Uint32(b[1:]))
+		}
+		return binary.BigEndian.Uint64(b[1:])
+	}
+	text := func(head, n int) (int, int) {
+		end := min(head+n, len(b))
+		return textSize(b[head:end]), end
+	}
+	// items measures n values: the brackets, a comma between two of them, or a
+	// colon, which is as long.
+	items := func(head, n int) (int, int) {
+		size, at := 2+max(n-1, 0), head
+		for range n {
+			if at >= len(b) {
+				break
+			}
+			s, u := jsonSize(b[at:])
+			size, at = size+s, at+u
+		}
+		return size, at
+	}
+	unsigned := func(width int) (int, int) { return len(strconv.FormatUint(be(width), 10)), 1 + width }
+	signed := func(v int64, used int) (int, int) { return len(strconv.FormatInt(v, 10)), used }
+	switch {
+	case msgpcode.IsFixedNum(c):
+		return signed(int64(int8(c)), 1)
+	case msgpcode.IsFixedMap(c):
+		return items(1, 2*int(c&msgpcode.FixedMapMask))
+	case msgpcode.IsFixedArray(c):
+		return items(1, int(c&msgpcode.FixedArrayMask))
+	case msgpcode.IsFixedString(c):
+		return text(1, int(c&msgpcode.FixedStrMask))
+	}
+	switch c {
+	case msgpcode.Nil, msgpcode.True:
+		return 4, 1
+	case msgpcode.False:
+		return 5, 1
+	case msgpcode.Uint8:
+		return unsigned(1)
+	case msgpcode.Uint16:
+		return unsigned(2)
+	case msgpcode.Uint32:
+		return unsigned(4)
+	case msgpcode.Uint64:
+		return unsigned(8)
+	case msgpcode.Int8:
+		return signed(int64(int8(be(1))), 2)
+	case msgpcode.Int16:
+		return signed(int64(int16(be(2))), 3)
+	case msgpcode.Int32:
+		return signed(int64(int32(be(4))), 5)
+	case msgpcode.Int64:
+		return signed(int64(be(8)), 9)
+	case msgpcode.Float:
+		return decimalSize(float64(math.Float32frombits(uint32(be(4))))), 5
+	case msgpcode.Double:
+		return decimalSize(math.Float64frombits(be(8))), 9
+	case msgpcode.Str8:
+		return text(2, int(be(1)))
+	case msgpcode.Str16:
+		return text(3, int(be(2)))
+	case msgpcode.Str32:
+		return text(5, int(be(4)))
+	case msgpcode.Array16:
+		return items(3, int(be(2)))
+	case msgpcode.Array32:
+		return items(5, int(be(4)))
+	case msgpcode.Map16:
+		return items(3, 2*int(be(2)))
+	case msgpcode.Map32:
+		return items(5, 2*int(be(4)))
+	}
+	return 0, len(b) // not part of the protocol
+}
+
+func textSize(s []byte) int {
+	n := 2
+	for _, c := range s {
+		switch {
+		case c == '"', c == '\\', c == '\n', c == '\r', c == '\t', c == '\b', c == '\f':
+			n += 2
+		case c < 0x20:
+			n += 6
+		default:
+			n++
+		}
+	}
+	return n
+}
+
+func decimalSize(f float64) int {
+	if math.IsNaN(f) || math.IsInf(f, 0) {
+		return 4 // null
+	}
+	n := len(strconv.AppendFloat(nil, f, 'f', -1, 64))
+	if f == math.Trunc(f) {
+		n += 2
+	}
+	return n
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -38,6 +38,7 @@
 	Checkpoint float64  `msgpack:"knot_s"`
 	Save       float64  `msgpack:"tie_s"`
 	Deadline   *float64 `msgpack:"due_s"`
+	Awaits     []string `msgpack:"awaits,omitempty"` // jobs that must be done first
 }
 
 // Phases of a job, as users see them.
