--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -43,13 +43,23 @@
 )
 
 // How long records of the lower classes may stay unwritten, so that more writes
-// of the same record merge. Where changes are scarce this is what keeps launches
-// from queueing behind the ends of other tasks.
+// of the same record merge: where changes are scarce that keeps launches from
+// queueing behind the ends of other tasks.
 const (
-	soonAfter = 500 * clock.Millisecond
+	soonAfter = 4 * clock.Second
 	lazyAfter = 2 * clock.Second
 )
 
+// wait is how long records that somebody waits for may stay unwritten now: not
+// at all while the budget is as good as untouched.
+func (w *committer) wait() Micros {
+	c := w.core
+	if left := c.writes.TokensAt(stdTime(c.env.Now())); left < 0.75*float64(c.writes.Burst()) {
+		return soonAfter
+	}
+	return 0
+}
+
 // put queues the record of one key; a nil value deletes it. done, if any, runs
 // once it is committed, and makes it urgent.
 func (w *committer) put(key string, value func() []byte, done func()) {
@@ -106,6 +116,14 @@
 	return nil
 }
 
+// age is how long the first of the urgent records has waited.
+func (w *committer) age() Micros {
+	if r := w.head(&w.queue, atOnce); r != nil {
+		return w.core.env.Now() - r.since
+	}
+	return 0
+}
+
 // batch is a transaction being filled.
 type batch struct {
 	records []*record
@@ -140,7 +158,7 @@
 	}
 	now := c.env.Now()
 	due := func(r *record, after Micros) bool { return r != nil && now-r.since >= after }
-	if w.head(&w.queue, atOnce) == nil && !due(w.head(&w.soon, merged), soonAfter) && !due(w.head(&w.lazy, whenIdle), lazyAfter) {
+	if w.head(&w.queue, atOnce) == nil && !due(w.head(&w.soon, merged), w.wait()) && !due(w.head(&w.lazy, whenIdle), lazyAfter) {
 		return
 	}
 	room := min(c.limits().TxnOps>>min(w.squeeze, 16), int(c.writes.TokensAt(stdTime(now))))
@@ -150,8 +168,8 @@
 	}
 	b := new(batch)
 	full := w.fill(b, &w.queue, atOnce, max(room, 1), func(*record) bool { return true }) ||
-		w.fill(b, &w.soon, merged, room, func(r *record) bool { return due(r, soonAfter/2) }) ||
-		w.fill(b, &w.lazy, whenIdle, w.spare(room, len(b.changes)), func(r *record) bool { return due(r, lazyAfter/2) })
+		w.fill(b, &w.soon, merged, w.spare(room, len(b.changes), 4), func(r *record) bool { return due(r, w.wait()/2) }) ||
+		w.fill(b, &w.lazy, whenIdle, w.spare(room, len(b.changes), 2), func(r *record) bool { return due(r, lazyAfter/2) })
 	if len(b.records) == 0 {
 		if full { // the first record needs more changes than the budget has now
 			w.pauseFor(50 * clock.Millisecond)
@@ -163,11 +181,11 @@
 	w.send(c.term, b)
 }
 
-// spare is how many changes a transaction may hold once records that nobody
-// waits for join it: they leave half of a second's budget to the others.
-func (w *committer) spare(room, used int) int {
+// spare is how many changes a transaction may hold once records join it that are
+// not urgent: they leave a part of a second's budget to those that are.
+func (w *committer) spare(room, used, part int) int {
 	c := w.core
-	left := int(c.writes.TokensAt(stdTime(c.env.Now()))) - c.writes.Burst()/2
+	left := int(c.writes.TokensAt(stdTime(c.env.Now()))) - c.writes.Burst()/part
 	return min(room, max(left, used))
 }
 
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -212,7 +212,11 @@
 		}
 		if j != nil {
 			c.learnFetch(m, p, now)
-			m.Touch(p.Image, j.Spec.ImageGB, now)
+			if m.Touch(p.Image, j.Spec.ImageGB, now) && c.up.level >= LevelTasks {
+				// No placement writes the machine's record any more, but a successor
+				// that did not know the images would have them all fetched again.
+				c.saveMachine(m, nil)
+			}
 		}
 	}
 	if t.State != wire.TaskExited || p.Exited {
--- a/internal/controller/tasks.go
+++ b/internal/controller/tasks.go
@@ -19,10 +19,10 @@
 // of many tasks of a job on many machines a change or two, and a hundred thousand
 // tasks no large value. A record that is too large all the same goes on in
 // t/JOB/FIRST/1 and so on, written in one transaction with it.
-const taskSpan = 32
+const taskSpan = 64
 
 type tasksRecord struct {
-	Done     uint32   `msgpack:"d,omitempty"` // bit per task
+	Done     uint64   `msgpack:"d,omitempty"` // bit per task
 	Estimate int64    `msgpack:"e,omitempty"`
 	Base     uint64   `msgpack:"a,omitempty"` // the least attempt
 	Machines []string `msgpack:"m,omitempty"`
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -185,12 +185,12 @@
 }
 
 // Touch notes the use of an image and forgets the least recently used ones
-// beyond the cache.
-func (m *Machine) Touch(image string, gb float64, now Micros) {
+// beyond the cache. It reports whether the image is new there.
+func (m *Machine) Touch(image string, gb float64, now Micros) bool {
 	_, known := m.Images[image]
 	m.Images[image] = now
 	if known { // most reports bring nothing new
-		return
+		return false
 	}
 	m.Sizes[image] = gb
 	for {
@@ -203,7 +203,7 @@
 			}
 		}
 		if total <= m.Type.CacheGB || oldest == "" {
-			return
+			return true
 		}
 		delete(m.Images, oldest)
 		delete(m.Sizes, oldest)
