--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -209,6 +209,9 @@
 		t.State == wire.TaskExited && t.Cause == wire.CauseDone {
 		if p.Running == 0 && t.State != wire.TaskWaiting {
 			p.Running = now
+			if j != nil && j.Began == 0 {
+				j.Began = now
+			}
 		}
 		if j != nil {
 			c.learnFetch(m, p, now)
@@ -364,6 +367,7 @@
 	}
 	if t := &j.Tasks[p.Index]; t.State == sched.Placed {
 		t.State = sched.Pending
+		j.Again++
 		if j.Active() && !j.Waiting() && !j.Gang() {
 			j.Queue = append([]int32{int32(p.Index)}, j.Queue...)
 		}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -489,6 +490,9 @@
 				j.Shown = wire.PhaseCancelled
 			}
 			j.Over = c.overAt(j.Over)
+			slog.Debug("job over", "job", j.ID, "class", j.Spec.Class, "phase", j.Shown, "tasks", len(j.Tasks),
+				"submitted", j.Submitted.Seconds(), "ready", j.Ready.Seconds(), "began", j.Began.Seconds(), "over", j.Over.Seconds(),
+				"estimate", j.Estimate.Seconds(), "stated", j.Spec.Estimate, "deadline", (j.Deadline - j.Submitted).Seconds(), "again", j.Again)
 		}
 		if then != nil {
 			then()
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -51,7 +51,9 @@
 	Backoff   Micros
 	Succeeded bool // some task of it has completed
 
+	Began       Micros      // when its first task was seen running, or 0
 	Over        Micros      // when it ended, or 0
+	Again       int         // places that its tasks left without being done
 	AwaitsParts int         // keys that hold the rest of its awaits
 	Parts       map[int]int // of the records of its tasks that may exist, by first task
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -71,7 +71,9 @@
 )
 
 func (j *Job) urgency(now Micros) int {
-	if j.Priority >= wire.PriorityHigh {
+	// A priority that a later stage lends does not by itself make a job urgent:
+	// each wave of a pipeline's tasks would stop other work while there is time.
+	if j.Priority >= wire.PriorityProduction || wire.PriorityOf(j.Spec.Priority) >= wire.PriorityHigh {
 		return first
 	}
 	slack := j.Slack(now)
