--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -373,6 +373,8 @@
 		cost = 2 * (1 - share)
 	case share > 0 && !m.Spot:
 		cost = room.CPUs / m.Type.CPUs
+	case j.chained() && !m.Spot:
+		cost = room.CPUs / m.Type.CPUs
 	case m.Spot || !j.Spec.Spot:
 		cost = 1 + room.CPUs/m.Type.CPUs
 	default:
@@ -387,6 +389,10 @@
 	return cost
 }
 
+// chained reports whether the job is part of a pipeline: a task lost with its
+// spot machine would hold up all that comes after.
+func (j *Job) chained() bool { return len(j.Spec.Awaits) > 0 || len(j.After) > 0 }
+
 // enough lists the least harmful tasks on m whose end makes room for need; nil
 // if there are none. The second result is the work lost, in CPU-seconds.
 func (p *pass) enough(m *Machine, priority int, need, room Need) ([]*Placement, float64) {
