--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -416,8 +416,11 @@
 // node has lost its peers too or a peer hears them: another node would serve
 // better, although the state service is still reached.
 func (c *Core) isolated(now Micros) bool {
-	quiet := max(3*c.cfg.ReportEvery(), 3*clock.Second)
-	if now-c.lastReport < quiet || now-c.electedAt < 2*quiet {
+	// A worker reports at least every 1.25 intervals, so by then all are missing.
+	// Each second counts: redirected workers come back to a leader that does not
+	// answer and wait there for 4 s, while their leases run out.
+	quiet := max(7*c.cfg.ReportEvery()/4, 5*clock.Second/2)
+	if now-c.lastReport < quiet || now-c.electedAt < 4*quiet {
 		return false
 	}
 	up := slices.ContainsFunc(c.order, func(m *sched.Machine) bool { return m.Up && !m.Releasing })
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -251,6 +251,10 @@
 		}
 	case "limits": // the next limits are in force
 		return func() { w.State.Next = true }
+	case "workers":
+		return func() {
+			w.Config.Params.Workers.Report, w.Config.Params.Workers.Lease = a.num("report", 1), a.num("lease", 10)
+		}
 	case "throttle": // the state service takes fewer changes a second than it says
 		return func() {
 			w.State.Rate = a.num("rate", 5)
