--- a/cmd/lilacthread/main.go
+++ b/cmd/lilacthread/main.go
@@ -20,7 +20,7 @@
 	"lilacthread/wire"
 )
 
-const version = "0.1.0"
+const version = "0.2.0-dev"
 
 var cli struct {
 	Serve   serveCmd   `cmd:"" default:"withargs" help:"Run a controller (the default)."`
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -58,7 +58,6 @@
 	Parts       map[int]int // of the records of its tasks that may exist, by first task
 
 	GangAttempt uint64 // attempt shared by a gang's tasks
-	Unwinding   bool   // a gang that waits for its old tasks to leave
 }
 
 // Task is one task of a job.
@@ -119,7 +118,6 @@
 	Exited    bool   // seen exited; takes no room any more
 	Stopping  bool
 	Grace     float64
-	StopSent  Micros
 }
 
 // Machine is a rented machine.
