--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -530,7 +530,15 @@
 			}
 			return nil
 		case "over":
-			return s.over(a.word(1))()
+			if a.word(1) != "all" {
+				return s.over(a.word(1))()
+			}
+			for _, id := range sortedKeys(w.Users) {
+				if err := s.over(id)(); err != nil {
+					return err
+				}
+			}
+			return nil
 		case "value": // the largest value that was asked for
 			if w.State.Largest > int(a.num("max", 1e9)) || w.State.Largest < int(a.num("min", 0)) {
 				return fmt.Errorf("t=%v: a value of %d bytes", w.now.Seconds(), w.State.Largest)
