--- a/internal/controller/production_test.go
+++ b/internal/controller/production_test.go
@@ -181,3 +181,27 @@
 		t.Errorf("learnt: %+v", c.arrivals["check"])
 	}
 }
+
+// FuzzRecords: whatever a record of tasks holds, reading it does not panic and
+// enters no place that the job does not have.
+func FuzzRecords(f *testing.F) {
+	f.Add(wire.Encode(&tasksRecord{Done: 5, Base: 7, Machines: []string{"m-000001"}, Places: []uint64{1, 0, 2, 3}}))
+	f.Add(wire.Encode(&tasksRecord{Machines: []string{"m-000001"}, Places: []uint64{1, 9, 2, 3, 99, 0, 0, 1}}))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if wire.Check(value) != nil {
+			return
+		}
+		c := loading(LevelTasks, config.State{ValueKB: 2, TxnOps: 8, WriteRPS: 42})
+		c.catalog = []wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64}}
+		m := c.addMachine("m-000001", "", "t", "a", false, 0)
+		c.addRecord(wire.Encode(&jobRecord{Job: wire.Job{ID: "req-000001", Team: "core", Tasks: 70}}), nil)
+		for _, r := range c.readTasks([]wire.Item{{Key: tasksKey("req-000001", taskSpan, 0), Value: value}}) {
+			c.restorePlaces(r)
+		}
+		for _, p := range m.Places {
+			if p.Index < taskSpan || p.Index >= 70 {
+				t.Fatalf("place of task %d", p.Index)
+			}
+		}
+	})
+}
