One way to archive, and a machine counts as recorded once it is committed

Re-reading: a machine's record was noted as written when it was rendered, but a full transaction may leave a rendered record behind, and a place on the machine could then go ahead of it. Noted by the commit now.

--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -41,11 +41,10 @@
 
 // upgrade is what a node knows of the format levels.
 type upgrade struct {
-	speaks    int // what this process reads and writes at most
-	level     int // in force
-	announced bool
-	peers     map[string]bool // nodes known to speak our level
-	raising   bool            // the record of the new level is on its way
+	speaks  int             // what this process reads and writes at most
+	level   int             // in force
+	peers   map[string]bool // nodes known to speak our level
+	raising bool            // the record of the new level is on its way
 }
 
 // limits are those of the state service in force: the present ones until the
@@ -65,7 +64,7 @@
 // announce tells the others, through the state service, what this process
 // speaks; peers also hear it in every message.
 func (c *Core) announce() {
-	if c.up.announced || c.up.speaks < LevelTasks {
+	if c.up.speaks < LevelTasks {
 		return
 	}
 	again := func() { c.env.After(clock.Second, c.announce) }
@@ -76,11 +75,9 @@
 	c.env.State().Txn(&wire.Txn{Then: []wire.Change{
 		{Put: nodePrefix + c.cfg.Name, Value: wire.Encode(&levelRecord{c.up.speaks})},
 	}}, func(o store.Outcome, _ *wire.TxnAnswer) {
-		if o == store.OK {
-			c.up.announced = true
-			return
+		if o != store.OK {
+			again()
 		}
-		again()
 	})
 }
 
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -106,7 +106,7 @@
 			return []wire.Change{{Delete: key}}, true
 		}
 		rec := machineRecord{Addr: m.Addr, Type: m.Type.Name, Zone: m.Zone, Spot: m.Spot,
-			At: int64(m.Since - c.env.Now() + c.env.Wall()), Places: []placeRecord{}}
+			At: c.wall(m.Since), Places: []placeRecord{}}
 		for image := range m.Images {
 			rec.Images = append(rec.Images, image)
 		}
@@ -131,9 +131,13 @@
 		if c.up.level >= LevelTasks && len(rec.Places) > 0 && wire.JSONSize(value) > limit {
 			return nil, false // until the jobs' records hold the placements
 		}
-		m.Recorded = true // whatever is rendered from now on is written after it
 		return []wire.Change{{Put: key, Value: value}}, true
-	}, done)
+	}, c.during(func() {
+		m.Recorded = true
+		if done != nil {
+			done()
+		}
+	}))
 }
 
 func (c *Core) saveProgress(j *sched.Job, class int, done func()) {
@@ -141,8 +145,7 @@
 	c.commit.add(key, class, func() ([]wire.Change, bool) {
 		// Of a job archived meanwhile the progress must stay as long as its record:
 		// alone, that would tell the world that the job is queued.
-		gone := c.jobs[j.ID] != j && c.commit.keys[finalPrefix+j.ID] == nil && c.commit.keys[jobPrefix+j.ID] == nil
-		if gone {
+		if c.jobs[j.ID] != j && c.commit.keys[finalPrefix+j.ID] == nil {
 			return []wire.Change{{Delete: key}}, true
 		}
 		return []wire.Change{{Put: key, Value: wire.Encode(c.progressOf(j))}}, true
@@ -211,32 +214,21 @@
 		return
 	}
 	final := finalRecord{JobStatus: wire.JobStatus{ID: j.ID, Phase: j.Shown, Done: j.DoneCount}, Service: j.Service()}
+	if j.Over != 0 {
+		final.Over = c.wall(j.Over)
+	}
 	delete(c.jobs, j.ID)
 	c.remember(&final)
-	none := func() []byte { return nil }
-	if c.up.level < LevelTasks {
-		c.commit.put(finalPrefix+j.ID, func() []byte { return wire.Encode(&final) }, c.during(func() {
-			// Only after the final record exists: a reader looks for the job first.
-			c.commit.put(jobPrefix+j.ID, none, c.during(func() {
-				c.commit.put(jobPrefix+j.ID+progressTail, none, nil)
-			}))
-		}))
-	} else {
-		if j.Over != 0 {
-			final.Over = c.wall(j.Over)
-		}
-		// All at once, so that a reader sees the job or its final record. What
-		// the job's end has not yet written is written or made needless here.
-		c.commit.add(finalPrefix+j.ID, whenIdle, func() ([]wire.Change, bool) {
-			return []wire.Change{{Put: finalPrefix + j.ID, Value: wire.Encode(&final)},
-				{Delete: jobPrefix + j.ID}, {Delete: jobPrefix + j.ID + progressTail}}, true
-		}, nil)
-	}
+	// All at once, so that a reader sees the job or its final record.
+	c.commit.add(finalPrefix+j.ID, whenIdle, func() ([]wire.Change, bool) {
+		return []wire.Change{{Put: finalPrefix + j.ID, Value: wire.Encode(&final)},
+			{Delete: jobPrefix + j.ID}, {Delete: jobPrefix + j.ID + progressTail}}, true
+	}, nil)
 	for first, parts := range j.Parts {
 		c.deleteTasks(j.ID, first, parts)
 	}
 	for i := range j.AwaitsParts {
-		c.commit.put(awaitsKey(j.ID, i), none, nil)
+		c.commit.put(awaitsKey(j.ID, i), func() []byte { return nil }, nil)
 	}
 }
 
@@ -569,7 +561,7 @@
 		return
 	}
 	now := c.env.Now()
-	at := min(now, Micros(rec.At)-c.env.Wall()+now)
+	at := c.steady(rec.At)
 	for name, use := range rec.Use {
 		if t := c.teams[name]; t != nil {
 			t.Use, t.UseAt = use, at
