Work that saves nothing and would lose a task takes ordinary machines first

Change: losses are observed (notices a machine-second, smoothed, kept across a takeover). A job that saves nothing and would more likely than not lose a task takes ordinary machines first where both kinds have room, as pipelines do.

Ruled out: waiting (queue times are 0 after the first minute).

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -118,6 +118,7 @@
 	toOrder     []*sched.Machine
 	moved       Micros  // up to when moves of replicas are accounted for
 	moves       float64 // replicas that may be moved now
+	spot        spotLosses
 }
 
 type peerInfo struct {
@@ -330,7 +331,7 @@
 		c.teams[t.Name] = &sched.Team{Name: t.Name, UseAt: now,
 			Guarantee: sched.Need{CPUs: t.CPUs, GPUs: t.GPUs}, Limit: sched.Need{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
-	c.rates = map[string]float64{}
+	c.rates, c.spot = map[string]float64{}, spotLosses{at: now}
 	c.commit = committer{core: c, keys: map[string]*record{}}
 	c.attempts, c.bids = 0, 0
 	c.ordered = map[string]fleet.Rental{}
@@ -472,7 +473,7 @@
 	out := sched.Plan(&sched.Input{
 		Now: now, Fresh: c.fresh(), Jobs: pending, Machines: c.order, Teams: c.teams,
 		Rates: c.rates, Attempt: c.attempt, Patience: c.pol.Patience,
-		MaxTasks: c.maxTasks(),
+		MaxTasks: c.maxTasks(), SpotLoss: c.spot.rate(),
 	})
 	for _, pl := range out.Launch {
 		if c.up.level >= LevelTasks {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -152,7 +152,7 @@
 // tendMachines returns the machines that are of no use: idle, silent, failed,
 // drained, or never up.
 func (c *Core) tendMachines(now Micros) {
-	up, silent := 0, 0
+	up, silent, spot := 0, 0, 0
 	quiet := Micros(c.pol.SilentReports * float64(c.cfg.ReportEvery()))
 	// After a takeover no machine has reported yet, and none is late for that:
 	// a new leader that judged by silence alone would return the whole fleet.
@@ -160,11 +160,15 @@
 	for _, m := range c.order {
 		if m.Up && !m.Releasing {
 			up++
+			if m.Spot {
+				spot++
+			}
 			if now-m.Heard > quiet {
 				silent++
 			}
 		}
 	}
+	c.spot.observe(spot, now)
 	in := c.fleetInput(now)
 	for _, m := range c.order {
 		if m.Releasing {
@@ -350,6 +354,7 @@
 // work without checkpoints runs on, it may yet finish.
 func (c *Core) drainForNotice(m *sched.Machine, now Micros) {
 	slog.Debug("spot notice", "machine", m.ID, "in", (m.Notice - now).Seconds())
+	c.spot.lost++
 	for _, p := range places(m) {
 		j := p.Job
 		switch {
@@ -368,6 +373,27 @@
 	c.wake()
 }
 
+// spotLosses smooths how often the cloud takes spot machines back. Only notices
+// count: silence has other causes too.
+type spotLosses struct {
+	lost, held float64 // machines taken, and seconds that machines were up, of late
+	at         Micros
+}
+
+// spotWindow is the memory of the losses; so long a time without any is taken
+// for granted at first.
+const spotWindow = 600 * clock.Second
+
+func (s *spotLosses) rate() float64 { return s.lost / (s.held + spotWindow.Seconds()) }
+
+// observe adds that n spot machines were up since the last call.
+func (s *spotLosses) observe(n int, now Micros) {
+	fade := math.Exp(-float64(now-s.at) / float64(spotWindow))
+	s.lost *= fade
+	s.held = s.held*fade + float64(n)*(now-s.at).Seconds()
+	s.at = now
+}
+
 func (a *arrival) now(at Micros) float64 {
 	return a.rate * math.Exp(-float64(at-a.at)/float64(arrivalWindow))
 }
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -91,6 +91,8 @@
 	Arrivals map[string]float64 `msgpack:"arrivals"`
 	Since    map[string]int64   `msgpack:"since"` // time of day of a class's first arrival
 	Batch    map[string]bool    `msgpack:"batch"`
+	Lost     float64            `msgpack:"lost,omitempty"` // of spotLosses
+	Held     float64            `msgpack:"held,omitempty"`
 }
 
 // saveMachine writes a machine's record: what it is, the images it has, and the
@@ -572,6 +574,7 @@
 			c.rates[name] = r
 		}
 	}
+	c.spot.lost, c.spot.held = rec.Lost, rec.Held
 	for class, r := range rec.Arrivals {
 		c.arrivals[class] = &arrival{rate: r, at: at, batch: rec.Batch[class],
 			since: min(at, Micros(rec.Since[class])-c.env.Wall()+now)}
@@ -594,6 +597,7 @@
 	rec := learntRecord{At: int64(c.env.Wall()), Use: map[string]float64{},
 		Rates: map[string]float64{}, Arrivals: map[string]float64{}, Since: map[string]int64{}, Batch: map[string]bool{}}
 	now := c.env.Now()
+	rec.Lost, rec.Held = short(c.spot.lost), short(c.spot.held)
 	for name, r := range c.rates {
 		rec.Rates[name] = short(r)
 	}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -21,6 +21,7 @@
 	Attempt  func() uint64      // hands out attempt numbers
 	MaxTasks int                // places that one machine's record can hold
 	Patience Micros             // how much older a job may be that is passed for an image's sake
+	SpotLoss float64            // how often the cloud takes a spot machine, per second
 }
 
 // Unplaced is demand that found no room.
@@ -121,6 +122,7 @@
 	// Of the job being placed: what a task of it costs on each machine. All its
 	// tasks are alike, so a place changes the cost of its own machine only.
 	warm  bool // only machines that have its image, or are fetching it
+	frail bool // a task lost with a spot machine would hurt it: see frailty
 	cost  []float64
 	full  []bool               // the cost lacks that of making room
 	taken map[int][]*Placement // who would be stopped to make room
@@ -295,7 +297,7 @@
 // scoreAll works out what a task of j costs on each machine, in the given zone
 // if one is named.
 func (p *pass) scoreAll(j *Job, zone string) {
-	p.taken = nil
+	p.taken, p.frail = nil, p.frailty(j)
 	for i := range p.use {
 		if zone != "" && p.use[i].Zone != zone {
 			p.cost[i] = math.Inf(1)
@@ -373,7 +375,7 @@
 		cost = 2 * (1 - share)
 	case share > 0 && !m.Spot:
 		cost = room.CPUs / m.Type.CPUs
-	case j.chained() && !m.Spot:
+	case p.frail && !m.Spot:
 		cost = room.CPUs / m.Type.CPUs
 	case m.Spot || !j.Spec.Spot:
 		cost = 1 + room.CPUs/m.Type.CPUs
@@ -393,6 +395,20 @@
 // spot machine would hold up all that comes after.
 func (j *Job) chained() bool { return len(j.Spec.Awaits) > 0 || len(j.After) > 0 }
 
+// frailty reports whether a job takes ordinary machines first, where both kinds
+// have room. Beside pipelines that is work that saves nothing and would more
+// likely than not lose a task to the cloud: a job is done with its last task, so
+// at 80 tasks and half an hour between losses of a machine nearly every job on
+// spot machines came a whole run late, while work that saves had the ordinary
+// machines. Where the cloud takes them less often, spot machines come first.
+func (p *pass) frailty(j *Job) bool {
+	if j.chained() {
+		return true
+	}
+	left := float64(len(j.Tasks) - j.DoneCount)
+	return j.Array() && j.Spec.Checkpoint <= 0 && left*j.Estimate.Seconds()*p.SpotLoss > math.Ln2
+}
+
 // enough lists the least harmful tasks on m whose end makes room for need; nil
 // if there are none. The second result is the work lost, in CPU-seconds.
 func (p *pass) enough(m *Machine, priority int, need, room Need) ([]*Placement, float64) {
