Passes and emptying at thousands of machines: less work where nothing can change

Change: a level of jobs is weighed against machines with room for one of it; a heap instead of a scan for each task; only machines with work that saves are asked to make room; one pass finds all machines to empty. Decisions are the same: the order of the heap is that of the scan, and what is passed over once has no room later.

Benchmarks at the three sizes for passes, renting, emptying, reports and takeovers.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -193,9 +193,9 @@
 
 func stdTime(m Micros) time.Time { return time.UnixMicro(int64(m)) }
 
-// serving reports whether this node may answer users from memory and start
+// Serving reports whether this node may answer users from memory and start
 // tasks.
-func (c *Core) serving() bool { return c.loaded && c.lead.Authority() }
+func (c *Core) Serving() bool { return c.loaded && c.lead.Authority() }
 
 // fadeFor is how long a leader that lost touch with the state service may go
 // on renewing worker leases: a successor's cancellations must still hold.
@@ -295,7 +295,7 @@
 	case fb.KindHello:
 		answer(Answer{Code: 200})
 	case fb.KindStatus:
-		if !c.serving() {
+		if !c.Serving() {
 			answer(unavailable)
 			return
 		}
@@ -405,7 +405,7 @@
 	}
 	c.proveByLease(now)
 	c.tendLevel(now)
-	if c.serving() {
+	if c.Serving() {
 		c.tendMachines(now)
 		c.sendOrders()
 		c.wake()
@@ -449,7 +449,7 @@
 	wait := max(c.planned+c.pol.Cycle-c.env.Now(), 0)
 	c.env.After(wait, func() {
 		c.planSet = false
-		if c.serving() {
+		if c.Serving() {
 			c.planned = c.env.Now()
 			c.plan()
 		}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -170,6 +170,7 @@
 	}
 	c.spot.observe(spot, now)
 	in := c.fleetInput(now)
+	spare := in.Spare()
 	for _, m := range c.order {
 		if m.Releasing {
 			continue
@@ -198,11 +199,12 @@
 		case m.Busy() || !m.Up:
 		case m.Draining || m.Notice != 0:
 			why = "drained"
-		case now-m.IdleSince > c.pol.Idle && !c.wanted(in, m):
+		case now-m.IdleSince > c.pol.Idle && !c.wanted(in, m, spare):
 			why = "idle"
 		}
 		if why != "" {
 			slog.Debug("returning machine", "machine", m.ID, "why", why, "age", (now - m.Since).Seconds())
+			spare -= in.SpareOn(m)
 			m.Releasing = true
 			c.toRelease = append(c.toRelease, m.ID)
 		}
@@ -238,11 +240,8 @@
 	if waiting || now-c.electedAt < 2*c.cfg.WorkerLease() {
 		return
 	}
-	for limit := 2 + int(c.pol.Emptying*float64(len(c.order))); retiring < limit; retiring++ {
-		m := in.Retire(c.fresh())
-		if m == nil {
-			break
-		}
+	limit := 2 + int(c.pol.Emptying*float64(len(c.order)))
+	for _, m := range in.Retire(c.fresh(), limit-retiring) {
 		m.Retiring = true
 		slog.Debug("retiring machine", "machine", m.ID)
 	}
@@ -284,14 +283,15 @@
 	return false
 }
 
-// wanted reports whether an idle machine is worth keeping.
-func (c *Core) wanted(in *fleet.Input, m *sched.Machine) bool {
+// wanted reports whether an idle machine is worth keeping, given what services
+// could take on all machines.
+func (c *Core) wanted(in *fleet.Input, m *sched.Machine, spare float64) bool {
 	for _, u := range c.unplaced {
 		if u.Job.Active() && u.Job.Allows(m.Type, m.Zone, m.Spot) {
 			return true
 		}
 	}
-	return !m.Spot && in.Spare(m) < in.Headroom
+	return !m.Spot && spare-in.SpareOn(m) < in.Headroom
 }
 
 // release returns machines, one call at a time.
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -28,7 +28,7 @@
 
 func (c *Core) sendOrder(m *sched.Machine) {
 	now := c.env.Now()
-	if m.Ordering || c.ordering >= c.cfg.OrderLimit() || !c.serving() || c.machines[m.ID] != m ||
+	if m.Ordering || c.ordering >= c.cfg.OrderLimit() || !c.Serving() || c.machines[m.ID] != m ||
 		!m.Acked || m.Releasing || m.Addr == "" || now-m.Heard > c.fresh() {
 		return
 	}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -131,7 +131,7 @@
 			c.leave(p)
 		}
 	}
-	if !c.serving() {
+	if !c.Serving() {
 		return cancelledOn(m, held)
 	}
 	stop, start := c.commands(m, held, now, false)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -316,7 +316,7 @@
 // leader, otherwise from the state service, which holds every state that a
 // user was ever told.
 func (c *Core) Status(id string, reply func(Answer)) {
-	if c.serving() {
+	if c.Serving() {
 		c.statusHere(id, reply)
 		return
 	}
@@ -403,7 +403,7 @@
 				if progress.Count > 0 {
 					st.Phase = wire.PhaseRunning
 				}
-				if leading && c.serving() && c.term == term {
+				if leading && c.Serving() && c.term == term {
 					c.addRecords(l.Items, nil) // the watch has not brought it yet
 					c.wake()
 				}
@@ -430,7 +430,7 @@
 
 // Cancel cancels a job for a user.
 func (c *Core) Cancel(id string, reply func(Answer)) {
-	if c.serving() {
+	if c.Serving() {
 		c.cancelHere(id, reply)
 		return
 	}
@@ -447,7 +447,7 @@
 // cancelHere cancels on the leader: no task starts from now on, and the answer
 // follows the commit.
 func (c *Core) cancelHere(id string, reply func(Answer)) {
-	if !c.serving() {
+	if !c.Serving() {
 		reply(unavailable)
 		return
 	}
@@ -456,7 +456,7 @@
 		// The watch may not have brought the job yet; statusHere would add it.
 		c.statusHere(id, func(a Answer) {
 			if a.Code == 200 && a.Status.Phase != wire.PhaseDone && a.Status.Phase != wire.PhaseCancelled {
-				if c.serving() && c.jobs[id] != nil {
+				if c.Serving() && c.jobs[id] != nil {
 					c.cancelHere(id, reply)
 					return
 				}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -359,7 +359,7 @@
 	if b.Service == nil || b.Headroom <= 0 {
 		return
 	}
-	have := b.Spare(nil)
+	have := b.Spare()
 	need := b.Service.Need()
 	for _, x := range b.bins {
 		if !x.kind.Spot && b.Service.Allows(x.typ, x.kind.Zone, false) {
@@ -378,20 +378,18 @@
 }
 
 // Spare is the room on ordinary machines in use that services could take at
-// once, leaving out one machine.
-func (in *Input) Spare(without *sched.Machine) float64 {
+// once.
+func (in *Input) Spare() float64 {
 	sum := 0.0
 	for _, m := range in.Machines {
-		if m != without {
-			sum += in.spare(m)
-		}
+		sum += in.SpareOn(m)
 	}
 	return sum
 }
 
-// spare is one machine's part of it: what is free, or held by work that
+// SpareOn is one machine's part of it: what is free, or held by work that
 // services may stop.
-func (in *Input) spare(m *sched.Machine) float64 {
+func (in *Input) SpareOn(m *sched.Machine) float64 {
 	if m.Spot || !m.Up || m.Releasing || m.Draining || m.Retiring || m.Errors > 0 ||
 		in.Service != nil && !in.Service.Allows(m.Type, m.Zone, false) {
 		return 0
@@ -399,13 +397,22 @@
 	return m.Type.CPUs - m.Production()
 }
 
-// Retire picks a machine to empty: one whose tasks, with those of the machines
-// that are being emptied already, would all fit into the room of the others,
-// with the headroom for services to spare. It is the one that costs most for
-// what it holds; nil if there is none.
-func (in *Input) Retire(fresh sched.Micros) *sched.Machine {
+// Retire picks up to n machines to empty: each one whose tasks, with those of the
+// machines that are being emptied already, would all fit into the room of the
+// others, with the headroom for services to spare. Those that cost most for what
+// they hold come first. What is passed over once has no room later either, so one
+// pass finds them all.
+func (in *Input) Retire(fresh sched.Micros, n int) []*sched.Machine {
+	if n <= 0 {
+		return nil
+	}
 	// What is free, all in all and on ordinary machines, beyond what must move.
 	var all, ordinary float64
+	type candidate struct {
+		m    *sched.Machine
+		cost float64
+	}
+	var list []candidate
 	for _, m := range in.Machines {
 		room := m.Room().CPUs
 		switch {
@@ -414,36 +421,42 @@
 			ordinary -= m.Production()
 		case m.Usable(in.Now, fresh):
 			all += room
+			price := m.Type.SpotPrice
 			if !m.Spot {
 				ordinary += room
+				price = m.Type.Price
+			}
+			if m.Busy() {
+				list = append(list, candidate{m, price / (m.Type.CPUs - room + 1)})
 			}
 		}
 	}
-	spare := in.Spare(nil)
-	var best *sched.Machine
-	bestCost := 0.0
-	for _, m := range in.Machines {
-		if !m.Usable(in.Now, fresh) || !m.Busy() {
-			continue
-		}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.cost, a.cost) })
+	spare := in.Spare()
+	var out []*sched.Machine
+	for _, c := range list {
+		m := c.m
 		room := m.Room().CPUs
 		used := m.Type.CPUs - room
 		// Batch work finishes where it is; its successors need room elsewhere.
-		if all-room < used+in.Headroom {
+		if c.cost <= 0 || all-room < used+in.Headroom {
 			continue
 		}
-		price := m.Type.SpotPrice
-		if !m.Spot {
-			if ordinary-room < m.Production() || spare-in.spare(m) < m.Production()+in.Headroom {
-				continue
-			}
-			price = m.Type.Price
+		if !m.Spot && (ordinary-room < m.Production() || spare-in.SpareOn(m) < m.Production()+in.Headroom) {
+			continue
 		}
-		if cost := price / (used + 1); cost > bestCost {
-			best, bestCost = m, cost
+		out = append(out, m)
+		if len(out) == n {
+			break
+		}
+		all -= room + used
+		ordinary -= m.Production()
+		if !m.Spot {
+			ordinary -= room
+			spare -= in.SpareOn(m)
 		}
 	}
-	return best
+	return out
 }
 
 func ratio(have, need float64) float64 {
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"lilacthread/internal/clock"
@@ -33,14 +34,14 @@
 	return m
 }
 
-func bigInput() *Input {
+func bigInput(machines int) *Input {
 	in := &Input{Now: 100 * clock.Second, Catalog: catalog, Refused: map[Kind]sched.Micros{}, SpotWait: 5 * clock.Second}
-	for i := range 500 {
+	for i := range machines {
 		in.Machines = append(in.Machines, running(i, i%2 == 0, 4, 4, wire.KindArray))
 	}
-	for i := range 100 {
+	for i := range machines / 5 {
 		kind, priority := wire.KindArray, wire.PriorityNormal
-		if i < 20 {
+		if i%5 == 0 {
 			kind, priority = wire.KindService, wire.PriorityProduction
 		}
 		in.Unplaced = append(in.Unplaced, sched.Unplaced{Job: waiting(fmt.Sprint("w-", i), kind, priority, 50, 4), Count: 50})
@@ -53,7 +54,7 @@
 // waiting for a boot and more, found on the first grown days. The cost stays
 // near the number of waiting tasks.
 func TestLooksAtAllThatWaits(t *testing.T) {
-	in := bigInput()
+	in := bigInput(500)
 	in.Machines = nil
 	b := newBuyer(in)
 	counts := map[bool]int{}
@@ -63,7 +64,7 @@
 	if counts[true] == 0 || counts[false] == 0 {
 		t.Errorf("rents %v, want spot machines for batch and ordinary ones for services", counts)
 	}
-	in = bigInput()
+	in = bigInput(500)
 	b = newBuyer(in)
 	b.plan()
 	if limit := 10 * 100 * 50; b.looked > limit {
@@ -88,12 +89,8 @@
 	} {
 		in := &Input{Catalog: catalog, Machines: c.machines, Headroom: c.headroom}
 		got := -1
-		if m := in.Retire(clock.Second); m != nil {
-			for i := range c.machines {
-				if c.machines[i] == m {
-					got = i
-				}
-			}
+		if list := in.Retire(clock.Second, 1); len(list) > 0 {
+			got = slices.Index(c.machines, list[0])
 		}
 		if got != c.want {
 			t.Errorf("%s: empties %d, want %d", name, got, c.want)
@@ -104,14 +101,39 @@
 	for i := range 3 {
 		in.Machines = append(in.Machines, running(i, false, 2, 4, batch))
 	}
-	in.Retire(clock.Second).Retiring = true
-	if m := in.Retire(clock.Second); m != nil {
-		t.Errorf("empties %s as well, though the third has not the room for both", m.ID)
+	if list := in.Retire(clock.Second, 3); len(list) != 1 {
+		t.Errorf("empties %d at once, though the third has not the room for two", len(list))
+	}
+	in.Retire(clock.Second, 1)[0].Retiring = true
+	if list := in.Retire(clock.Second, 1); len(list) > 0 {
+		t.Errorf("empties %s as well, though the third has not the room for both", list[0].ID)
+	}
+}
+
+func BenchmarkRent(b *testing.B) {
+	for _, n := range []int{250, 1000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			in := bigInput(n)
+			for b.Loop() {
+				Plan(in)
+			}
+		})
 	}
 }
 
-func BenchmarkPlan(b *testing.B) {
-	for b.Loop() {
-		Plan(bigInput())
+// BenchmarkRetire is the choice of what to empty where a third could go.
+func BenchmarkRetire(b *testing.B) {
+	for _, n := range []int{250, 1000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			in := &Input{Catalog: catalog, Now: clock.Second}
+			for i := range n {
+				in.Machines = append(in.Machines, running(i, i%2 == 0, 1+i%3, 4, wire.KindArray))
+			}
+			for b.Loop() {
+				if list := in.Retire(clock.Second, 2+n/20); len(list) == 0 {
+					b.Fatal("empties none")
+				}
+			}
+		})
 	}
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 
@@ -119,6 +120,10 @@
 	room  []Need
 	share []float64 // of the CPUs that services hold
 
+	open  []int // the machines that jobs of this level may find room on
+	yield []int // the machines with work that may be asked to leave; see makeRoom
+	known bool  // yield is worked out
+
 	// Of the job being placed: what a task of it costs on each machine. All its
 	// tasks are alike, so a place changes the cost of its own machine only.
 	warm  bool // only machines that have its image, or are fetching it
@@ -126,6 +131,21 @@
 	cost  []float64
 	full  []bool               // the cost lacks that of making room
 	taken map[int][]*Placement // who would be stopped to make room
+	heap  []int                // machines by cost, the cheapest first
+}
+
+// The heap's order is that of a scan for the least cost.
+func (p *pass) Len() int { return len(p.heap) }
+func (p *pass) Less(a, b int) bool {
+	i, j := p.heap[a], p.heap[b]
+	return p.cost[i] < p.cost[j] || p.cost[i] == p.cost[j] && i < j
+}
+func (p *pass) Swap(a, b int) { p.heap[a], p.heap[b] = p.heap[b], p.heap[a] }
+func (p *pass) Push(x any)    { p.heap = append(p.heap, x.(int)) }
+func (p *pass) Pop() any {
+	last := p.heap[len(p.heap)-1]
+	p.heap = p.heap[:len(p.heap)-1]
+	return last
 }
 
 // Plan runs one scheduling cycle.
@@ -172,6 +192,7 @@
 // a little earlier and would have to fetch theirs there: those get the next
 // place that is warm for them, and the machines spend less time fetching.
 func (p *pass) placeLevel(jobs []*Job) {
+	p.findOpen(jobs)
 	if jobs[0].Priority < wire.PriorityHigh {
 		oldest := clock.Forever // when the first job that is passed over became ready
 		for _, j := range jobs {
@@ -195,6 +216,24 @@
 	}
 }
 
+// findOpen lists the machines with room for some job of a level. On a busy day
+// hardly any has, and weighing each waiting job against each machine would cost a
+// pass of thousands of machines most of a second. Production work may make room,
+// so it looks at all.
+func (p *pass) findOpen(jobs []*Job) {
+	least := jobs[0].Need()
+	for _, j := range jobs {
+		n := j.Need()
+		least = Need{min(least.CPUs, n.CPUs), min(least.GPUs, n.GPUs), min(least.Memory, n.Memory)}
+	}
+	p.open = p.open[:0]
+	for i := range p.use {
+		if jobs[0].Priority == wire.PriorityProduction || least.Fits(p.room[i]) {
+			p.open = append(p.open, i)
+		}
+	}
+}
+
 // placeEach places a job's tasks one by one as long as there is room, only
 // where its image is if warm is set.
 func (p *pass) placeEach(j *Job, warm bool) {
@@ -205,6 +244,7 @@
 	held := j.Zones(nil)
 	p.warm = warm
 	p.scoreAll(j, "")
+	heap.Init(p)
 	for len(j.Queue) > 0 {
 		if !team.Allows(j.Need()) {
 			return // the limit, not room, holds it back: no machine is bought for it
@@ -221,6 +261,7 @@
 			held[p.use[i].Zone]++
 		}
 		p.score(j, i)
+		p.rank(held, i)
 	}
 	if n := len(j.Queue); n > 0 && !warm {
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
@@ -297,13 +338,14 @@
 // scoreAll works out what a task of j costs on each machine, in the given zone
 // if one is named.
 func (p *pass) scoreAll(j *Job, zone string) {
-	p.taken, p.frail = nil, p.frailty(j)
-	for i := range p.use {
+	p.taken, p.frail, p.heap = nil, p.frailty(j), p.heap[:0]
+	for _, i := range p.open {
 		if zone != "" && p.use[i].Zone != zone {
-			p.cost[i] = math.Inf(1)
 			continue
 		}
-		p.score(j, i)
+		if p.score(j, i); p.cost[i] < math.Inf(1) {
+			p.heap = append(p.heap, i)
+		}
 	}
 }
 
@@ -333,12 +375,22 @@
 
 // choose picks the machine where a task of j starts at the least cost, or -1,
 // and the tasks to stop for it.
+//
+// What is chosen is not in the heap any more, unless zones count: they depend on
+// the job's other tasks, so the heap serves as a list then.
 func (p *pass) choose(j *Job, held map[string]int) (int, []*Placement) {
 	for {
 		best, least := -1, math.Inf(1)
-		for i, cost := range p.cost {
-			if cost < least && (held == nil || ZoneAllows(j, held, p.use[i].Zone)) {
-				best, least = i, cost
+		if held == nil {
+			if len(p.heap) > 0 {
+				best = heap.Pop(p).(int)
+			}
+		} else {
+			for _, i := range p.heap {
+				cost := p.cost[i]
+				if (cost < least || cost == least && i < best) && ZoneAllows(j, held, p.use[i].Zone) {
+					best, least = i, cost
+				}
 			}
 		}
 		if best < 0 || !p.full[best] {
@@ -352,6 +404,7 @@
 			continue
 		}
 		p.cost[best] += lost / lossPerSecond
+		p.rank(held, best)
 		if p.taken == nil {
 			p.taken = map[int][]*Placement{}
 		}
@@ -359,6 +412,13 @@
 	}
 }
 
+// rank puts a machine that was chosen back into the heap.
+func (p *pass) rank(held map[string]int, i int) {
+	if held == nil && p.cost[i] < math.Inf(1) {
+		heap.Push(p, i)
+	}
+}
+
 // lossPerSecond is how many CPU-seconds of lost work weigh as much as a second
 // of delay.
 const lossPerSecond = 8
@@ -460,7 +520,8 @@
 		return // nothing can wait longer
 	}
 	need := j.Need()
-	for i, m := range p.use {
+	for _, i := range p.yielding() {
+		m := p.use[i]
 		if m.Errors > 0 || !p.allowed(j, m) {
 			continue
 		}
@@ -495,6 +556,24 @@
 	}
 }
 
+// yielding lists the machines with work that saves, or that is leaving already: no
+// other can have room for a job that found none.
+func (p *pass) yielding() []int {
+	if p.known {
+		return p.yield
+	}
+	p.known = true
+	for i, m := range p.use {
+		for _, v := range m.Places {
+			if !v.Exited && (v.Stopping || v.Job != nil && v.Job.Spec.Checkpoint > 0) {
+				p.yield = append(p.yield, i)
+				break
+			}
+		}
+	}
+	return p.yield
+}
+
 func (p *pass) stop(v *Placement, grace float64) {
 	v.Stopping, v.Grace = true, grace
 	p.out.Stop = append(p.out.Stop, v)
--- a/internal/sched/size_test.go
+++ b/internal/sched/size_test.go
@@ -62,12 +62,23 @@
 	}
 }
 
+// BenchmarkPass grows machines and waiting jobs alike. "room" is bigInput's third
+// full fleet; "full" is the pass after it, which finds hardly any room.
 func BenchmarkPass(b *testing.B) {
-	for b.Loop() {
-		b.StopTimer()
-		in := bigInput(500, 100, 50)
-		b.StartTimer()
-		Plan(in)
+	for _, n := range []int{250, 1000, 4000} {
+		for _, full := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d-%s", n, map[bool]string{false: "room", true: "full"}[full]), func(b *testing.B) {
+				for b.Loop() {
+					b.StopTimer()
+					in := bigInput(n, n/5, 50)
+					if full {
+						Plan(in)
+					}
+					b.StartTimer()
+					Plan(in)
+				}
+			})
+		}
 	}
 }
 
@@ -122,13 +133,18 @@
 	for name, c := range map[string]struct {
 		first, second func(*Machine)
 		awaits        []string
+		lives         float64 // seconds until the cloud takes a spot machine; 0: never
+		checkpoint    float64
 	}{
-		"warm before cold":                   {plain, warm, nil},
-		"spot before ordinary":               {plain, spot, nil},
-		"ordinary before spot in a pipeline": {spot, plain, []string{"a"}},
-		"fuller before emptier":              {plain, fuller, nil},
-		"sound before failing":               {failing, plain, nil},
-		"room before none, though warm":      {func(m *Machine) { warm(m); fuller(m); fuller(m) }, plain, nil},
+		"warm before cold":                        {plain, warm, nil, 0, 0},
+		"spot before ordinary":                    {plain, spot, nil, 0, 0},
+		"spot before ordinary, losses being rare": {plain, spot, nil, 80, 0},
+		"ordinary before spot, a loss being near": {spot, plain, nil, 70, 0},
+		"spot for what saves, all the same":       {plain, spot, nil, 70, 10},
+		"ordinary before spot in a pipeline":      {spot, plain, []string{"a"}, 0, 0},
+		"fuller before emptier":                   {plain, fuller, nil, 0, 0},
+		"sound before failing":                    {failing, plain, nil, 0, 0},
+		"room before none, though warm":           {func(m *Machine) { warm(m); fuller(m); fuller(m) }, plain, nil, 0, 0},
 	} {
 		in := bigInput(0, 0, 0)
 		typ := &wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64}
@@ -141,6 +157,10 @@
 		j := job("j", wire.PriorityNormal, 10, 50, 0)
 		j.Spec.CPUs, j.Spec.Tasks, j.Spec.Image, j.Spec.ImageGB, j.Spec.Spot = 4, 1, "img", 2, true
 		j.Tasks, j.Queue, j.Spec.Awaits = make([]Task, 1), []int32{0}, c.awaits
+		j.Spec.Checkpoint = c.checkpoint
+		if c.lives > 0 {
+			in.SpotLoss = 1 / c.lives
+		}
 		in.Jobs = []*Job{j}
 		out := Plan(in)
 		if len(out.Launch) != 1 || out.Launch[0].Machine != in.Machines[1] {
--- a/internal/sim/bench_test.go
+++ b/internal/sim/bench_test.go
@@ -1,43 +1,89 @@
 package sim
 
 import (
+	"fmt"
 	"testing"
 
 	"lilacthread/wire"
 )
 
-// BenchmarkReport takes in a worker's report in which nothing is new, decoding
-// and the answer's encoding included, on a leader of 500 machines.
-func BenchmarkReport(b *testing.B) {
+// bigWorld is a leader of n machines, each of which runs eight tasks.
+func bigWorld(b *testing.B, n int) *World {
 	w := NewWorld(1, []string{"a"}, 7)
 	s := &script{w: w}
 	s.team("core", 0, 0)
 	w.Cloud.Types = []wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchRate: 1, Price: 1,
 		SpotPrice: 0.3, Boot: 10, Zones: []string{"a"}}}
+	w.Config.Params.Workers.Report, w.Config.Params.Workers.Lease = 5, 25
+	w.Config.Params.Cloud.RPS = 20
 	w.Nodes[0].Start()
-	w.At(sec, s.verb("submit", parseArgs([]string{"req-000001", "array", "tasks=4000", "cpus=2", "run=1000"})))
-	w.Run(120 * sec)
-	var workers []*Worker
-	for _, id := range sortedKeys(w.Cloud.Machines) {
-		workers = append(workers, w.Cloud.Machines[id])
+	for i := range n / 10 {
+		w.At(sec, s.verb("submit", parseArgs([]string{fmt.Sprintf("req-%06d", i), "array", "tasks=80", "cpus=2", "run=100000"})))
 	}
-	if len(workers) < 450 {
-		b.Fatalf("%d machines: not the case meant", len(workers))
+	w.Run(150 * sec)
+	if have := len(w.Cloud.Machines); have < n*9/10 {
+		b.Fatalf("%d machines: not the case meant", have)
+	}
+	return w
+}
+
+func sizes(b *testing.B, f func(*testing.B, int)) {
+	for _, n := range []int{250, 1000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { f(b, n) })
 	}
-	i := 0
-	for b.Loop() {
-		b.StopTimer()
-		body := wire.Encode(workers[i%len(workers)].snapshot())
-		i++
-		b.StartTimer()
-		r, err := wire.DecodeReport(body)
-		if err != nil {
-			b.Fatal(err)
+}
+
+// BenchmarkReport takes in a worker's report in which nothing is new, decoding
+// and the answer's encoding included.
+func BenchmarkReport(b *testing.B) {
+	sizes(b, func(b *testing.B, n int) {
+		w := bigWorld(b, n)
+		ids := sortedKeys(w.Cloud.Machines)
+		i := 0
+		for b.Loop() {
+			b.StopTimer()
+			body := wire.Encode(w.Cloud.Machines[ids[i%len(ids)]].snapshot())
+			i++
+			b.StartTimer()
+			r, err := wire.DecodeReport(body)
+			if err != nil {
+				b.Fatal(err)
+			}
+			a := w.Nodes[0].core.OnReport(r)
+			if a.Code != 200 {
+				b.Fatal(a.Code)
+			}
+			wire.Encode(&a.Body)
 		}
-		a := w.Nodes[0].core.OnReport(r)
-		if a.Code != 200 {
-			b.Fatal(a.Code)
+	})
+}
+
+// BenchmarkSecond is a second of a leader's life in which nothing is new: ticks,
+// reports and what the stand-ins of everything else cost.
+func BenchmarkSecond(b *testing.B) {
+	sizes(b, func(b *testing.B, n int) {
+		w := bigWorld(b, n)
+		for b.Loop() {
+			w.Run(w.now + sec)
 		}
-		wire.Encode(&a.Body)
-	}
+	})
+}
+
+// BenchmarkTakeover is the load of all records by a new leader.
+func BenchmarkTakeover(b *testing.B) {
+	sizes(b, func(b *testing.B, n int) {
+		w := bigWorld(b, n)
+		for b.Loop() {
+			w.Nodes[0].Kill()
+			w.Nodes[0].Start()
+			from := w.now
+			for !w.Nodes[0].core.Serving() {
+				w.Run(w.now + sec/100)
+			}
+			b.ReportMetric((w.now - from).Seconds(), "virtual-s")
+			b.StopTimer()
+			w.Run(w.now + 30*sec)
+			b.StartTimer()
+		}
+	})
 }
