Machines that the cloud's list lacks are returned at once, and not waited for

A machine taken without a notice was found out after four missed reports, 16 to 20 s at this size.

Change: a machine missing from a list that is new enough to name it, and silent for one and a half reports, is returned, which proves that all on it is gone. A machine that was up under an earlier leader and has not reported to this one in two and a half reports counts as neither supply nor room on its way.

Ruled out: the list as a proof of absence; it may be older than the one before.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -134,7 +134,7 @@
 	if t == nil {
 		return nil
 	}
-	m := &sched.Machine{ID: id, Addr: addr, Type: t, Zone: zone, Spot: spot, Since: since,
+	m := &sched.Machine{ID: id, Addr: addr, Type: t, Zone: zone, Spot: spot, Since: since, Known: c.env.Now(),
 		Places: map[string]*sched.Placement{}, Images: map[string]Micros{}, Sizes: map[string]float64{},
 		IdleSince: c.env.Now(), Heard: -clock.Forever}
 	c.machines[id] = m
@@ -184,6 +184,10 @@
 		switch {
 		case m.Failed:
 			why = "failed"
+		case m.Unlisted && now-m.Heard > 3*c.cfg.ReportEvery()/2:
+			// Taken by the cloud, or returned by a leader whose own record of that was
+			// lost with it: returning it again proves that all on it is gone.
+			why = "not listed"
 		case !m.Up && settled && now-m.Since > Micros(float64(boot)*c.pol.BootFactor)+clock.FromSeconds(c.cfg.Params.Cloud.ListLag):
 			why = "never came up"
 		case m.Up && now-m.Heard > quiet && settled && (silent*4 <= up || silent == 1):
@@ -400,7 +404,7 @@
 
 func (c *Core) fleetInput(now Micros) *fleet.Input {
 	in := &fleet.Input{Now: now, Catalog: c.catalog, Refused: c.refused, Machines: c.order,
-		Unplaced: c.unplaced, SpotWait: c.pol.SpotWait, Rates: c.rates}
+		Unplaced: c.unplaced, SpotWait: c.pol.SpotWait, Rates: c.rates, Fresh: c.fresh()}
 	for _, bid := range slices.Sorted(maps.Keys(c.ordered)) {
 		in.Ordered = append(in.Ordered, c.ordered[bid])
 	}
@@ -494,12 +498,16 @@
 }
 
 // list compares the cloud's list with what is known: unexpected machines are
-// adopted, failed ones returned.
-func (c *Core) list(term uint64, after string) {
+// adopted, failed ones returned, and those noted that are missing though the list
+// is new enough. named holds what the pages before this one list.
+func (c *Core) list(term uint64, after string, named map[string]bool, began Micros) {
 	if !c.lead.Leading() || c.term != term {
 		return
 	}
-	again := func(d Micros, after string) { c.env.After(d, func() { c.list(term, after) }) }
+	if after == "" {
+		named, began = map[string]bool{}, c.env.Now()
+	}
+	again := func(d Micros, after string) { c.env.After(d, func() { c.list(term, after, named, began) }) }
 	if !c.calls.AllowN(stdTime(c.env.Now()), 1) {
 		again(300*clock.Millisecond, after)
 		return
@@ -515,6 +523,7 @@
 		now, added := c.env.Now(), false
 		for i := range l.Machines {
 			e := &l.Machines[i]
+			named[e.ID] = true
 			m := c.machines[e.ID]
 			if m == nil && !c.released[e.ID] {
 				if m = c.addMachine(e.ID, e.Addr, e.Type, e.Zone, e.Spot, now-clock.FromSeconds(e.Age)); m != nil {
@@ -534,6 +543,10 @@
 			again(0, l.Machines[len(l.Machines)-1].ID)
 			return
 		}
+		lag := 2*clock.FromSeconds(c.cfg.Params.Cloud.ListLag) + 2*clock.Second
+		for _, m := range c.order {
+			m.Unlisted = !named[m.ID] && began-m.Known > lag
+		}
 		c.logFleet()
 		again(5*clock.Second, "")
 	})
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -289,7 +289,7 @@
 			c.archive(j)
 		}
 		c.watchJobs(term, since)
-		c.list(term, "")
+		c.list(term, "", nil, 0)
 		c.saveLearnt(term)
 		c.wake()
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,14 @@
 	Load     float64          // CPUs that arriving batch work keeps busy, smoothed
 	SpotWait sched.Micros
 	Rates    map[string]float64
+	Fresh    sched.Micros // a machine that is up is heard at least this often
+}
+
+// missing reports whether a machine that an earlier leader knew, and that was up
+// then, has not reported to this one though it has had the time. It may be cut off
+// or long returned: room that is awaited there would be awaited in vain.
+func (in *Input) missing(m *sched.Machine) bool {
+	return !m.Up && m.Known-m.Since > 2*clock.FromSeconds(m.Type.Boot) && in.Now-m.Known > in.Fresh
 }
 
 // Buy is a rental to make.
@@ -139,11 +147,11 @@
 func newBuyer(in *Input) *buyer {
 	b := &buyer{Input: in, bought: map[Kind]int{}}
 	for _, m := range in.Machines {
-		if !m.Up && !m.Releasing && !m.Failed {
+		if !m.Up && !m.Releasing && !m.Failed && !in.missing(m) {
 			b.bins = append(b.bins, &bin{kindOf(m), m.Type, m.Room(),
 				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Room().CPUs})
 		}
-		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed {
+		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed && !in.missing(m) {
 			b.supply += m.Type.CPUs
 			if m.Errors == 0 {
 				b.supply -= m.Production()
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -128,6 +128,7 @@
 	Zone  string
 	Spot  bool
 	Since Micros // rental request, on the owner's steady clock
+	Known Micros // since when this leader has known it
 
 	Session  uint64
 	Seq      uint64
@@ -155,6 +156,7 @@
 	Retiring  bool // takes no new tasks, so as to empty and be returned
 	Releasing bool
 	Failed    bool
+	Unlisted  bool // the cloud's list, new enough to name it, does not
 }
 
 // Room is what the machine has free. Tasks without proof of absence hold
