What is cancelled is stopped in the first answer of a term

Change: an answer to a report under an older token carries the stops of what is cancelled for good. Such a stop is safe in any order; attempts are never reused.

Ruled out: direct orders (they wait for the token to be acknowledged), the bound on fading leaders.

--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -84,11 +84,29 @@
 			c.wake()
 		}
 		renew.Body.Commands = c.digest(m, r, now)
+	} else {
+		renew.Body.Commands = c.cancelledIn(r)
 	}
 	m.Answered = now
 	return renew
 }
 
+// cancelledIn lists the stops that answer a report under an older token. Such a
+// report proves nothing, but what is cancelled for good must go: a chain of leaders,
+// each of which ended before the worker had acknowledged it, renewed a lease beyond
+// cancel_s and never stopped the task, found at four seconds between reports.
+func (c *Core) cancelledIn(r *wire.Report) []wire.Command {
+	stop, grace := []wire.Command{}, 0.0
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		id, _, _ := wire.SplitTask(t.Task)
+		if j := c.jobs[id]; j != nil && j.Shown == wire.PhaseCancelled && t.State != wire.TaskExited {
+			stop = append(stop, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, Grace: &grace})
+		}
+	}
+	return stop
+}
+
 // places lists a machine's placements in a fixed order.
 func places(m *sched.Machine) []*sched.Placement {
 	list := make([]*sched.Placement, 0, len(m.Places))
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -253,7 +253,8 @@
 		return func() { w.State.Next = true }
 	case "workers":
 		return func() {
-			w.Config.Params.Workers.Report, w.Config.Params.Workers.Lease = a.num("report", 1), a.num("lease", 10)
+			p := &w.Config.Params.Workers
+			p.Report, p.Lease, p.Cancel = a.num("report", 1), a.num("lease", 10), a.num("cancel", p.Cancel)
 		}
 	case "strict":
 		return func() { w.Strict = true }
@@ -364,9 +365,32 @@
 		return func() { s.worker(a).Notify(span("in", 8)) }
 	case "take":
 		return func() { w.Cloud.remove(s.worker(a).id) }
+	case "wave": // many machines at once: hang, cut, sick, or taken
+		return func() {
+			rng := rand.New(rand.NewPCG(uint64(w.now), 3))
+			for _, id := range sortedKeys(w.Cloud.Machines) {
+				if rng.Float64() >= a.num("share", 0.3) {
+					continue
+				}
+				switch x := w.Cloud.Machines[id]; a.word(0) {
+				case "hang":
+					x.Hang(true)
+					w.After(span("for", 10), func() { x.Hang(false) })
+				case "cut":
+					s.verb("isolate", args{words: []string{"", "hold"}, pairs: map[string]string{"machine": id, "for": a.pairs["for"]}})()
+				case "sick":
+					x.Sick = true
+					w.After(span("for", 10), func() { x.Sick = false })
+				case "taken":
+					w.Cloud.remove(id)
+				default:
+					panic("wave: " + a.word(0))
+				}
+			}
+		}
 	case "chaos":
 		return func() {
-			s.chaos(uint64(a.num("seed", 1)), span("from", 20), span("to", 200), span("every", 8), span("pipelines", 1e9))
+			s.chaos(uint64(a.num("seed", 1)), span("from", 20), span("to", 200), span("every", 8), span("pipelines", 1e9), int(a.num("size", 1)))
 		}
 	case "expect":
 		return s.expectation(a)
@@ -376,8 +400,9 @@
 
 // chaos submits jobs and brings random troubles over them. In the end every
 // job that nobody cancelled must be done. From the given time on, jobs await
-// others.
-func (s *script) chaos(seed uint64, from, to, every, pipelines Micros) {
+// others. With a size above 1, jobs are so many times larger, and troubles come over
+// many machines at once.
+func (s *script) chaos(seed uint64, from, to, every, pipelines Micros, size int) {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	w := s.w
 	jobs := 0
@@ -409,14 +434,14 @@
 		}
 		switch rng.IntN(4) {
 		case 0:
-			line(t, "submit %s service tasks=%d cpus=1 spread priority=production %s", id, 1+rng.IntN(2), awaits)
+			line(t, "submit %s service tasks=%d cpus=1 spread priority=production %s", id, size*(1+rng.IntN(2)), awaits)
 			line(to+60*sec, "cancel %s", id)
 		case 1:
-			line(t, "submit %s gang tasks=%d run=%d cpus=2 %s", id, 2+rng.IntN(3), 10+rng.IntN(20), awaits)
+			line(t, "submit %s gang tasks=%d run=%d cpus=2 %s", id, min(size, 20)*(2+rng.IntN(3)), 10+rng.IntN(20), awaits)
 			s.expect = append(s.expect, s.over(id))
 		default:
 			line(t, "submit %s array tasks=%d run=%d checkpoint=%d save=2 priority=low cpus=%d %s", id,
-				1+rng.IntN(8), 5+rng.IntN(40), rng.IntN(2)*8, 1+rng.IntN(3), awaits)
+				size*(1+rng.IntN(8)), 5+rng.IntN(40), rng.IntN(2)*8, 1+rng.IntN(3), awaits)
 			s.expect = append(s.expect, s.over(id))
 		}
 		if rng.IntN(6) == 0 {
@@ -434,6 +459,10 @@
 		submit(t)
 		victim := fmt.Sprintf("of=req-%06d", 1+rng.IntN(jobs))
 		span := 2 + rng.IntN(20)
+		if size > 1 && rng.IntN(3) == 0 {
+			kind := []string{"hang", "cut", "sick", "taken"}[rng.IntN(4)]
+			line(t, "wave %s share=0.%d for=%d", kind, 1+rng.IntN(6), span)
+		}
 		switch rng.IntN(16) {
 		case 0:
 			line(t, "kill leader for=%d", span)
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -259,6 +259,11 @@
 		x.w.Rules.Started(x.w.now, t.task, x.id, x.typ.Name, x.zone, x.spot)
 		if t.job.Kind == wire.KindGang {
 			t.state = wire.TaskWaiting
+			x.later(t, Micros(x.w.Config.Params.Workers.GangWait*1e6), func() {
+				if t.state == wire.TaskWaiting {
+					x.exit(t, wire.CauseAlone, false)
+				}
+			})
 			x.w.gang(t.job, t.attempt)
 			return
 		}
