--- /dev/null
+++ b/internal/quota/amounts.go
@@ -0,0 +1,113 @@
+// Package quota holds the tree of organisations that divide, lend and take back
+// their share. It is pure: no I/O, no clock, and amounts are integers.
+package quota
+
+import (
+	"fmt"
+	"math"
+	"math/bits"
+)
+
+// Amounts are resources: thousandths of a CPU, thousandths of an accelerator,
+// and bytes.
+type Amounts struct {
+	CPUs   int64 `msgpack:"c"`
+	GPUs   int64 `msgpack:"g,omitempty"`
+	Memory int64 `msgpack:"m"`
+}
+
+// Unlimited stands in a limit for a resource that has none.
+const Unlimited = math.MaxInt64
+
+// Most is the largest amount that a node may be given: sums of as many nodes as a
+// tree may have stay far below an overflow.
+const Most = int64(1) << 50
+
+// resources is how many resources there are; at numbers them.
+const resources = 3
+
+var names = [resources]string{"cpus", "gpus", "memory"}
+
+func (a *Amounts) at(i int) *int64 {
+	switch i {
+	case 0:
+		return &a.CPUs
+	case 1:
+		return &a.GPUs
+	default:
+		return &a.Memory
+	}
+}
+
+// each makes amounts resource by resource.
+func each(f func(i int) int64) Amounts {
+	return Amounts{f(0), f(1), f(2)}
+}
+
+// Plus and Minus move amounts between sums. What is unlimited stays so.
+func (a Amounts) Plus(b Amounts) Amounts {
+	return each(func(i int) int64 {
+		x, y := *a.at(i), *b.at(i)
+		if x == Unlimited || y == Unlimited || x > Unlimited-y {
+			return Unlimited
+		}
+		return x + y
+	})
+}
+
+// Minus takes b away.
+func (a Amounts) Minus(b Amounts) Amounts {
+	return each(func(i int) int64 {
+		if *a.at(i) == Unlimited {
+			return Unlimited
+		}
+		return *a.at(i) - *b.at(i)
+	})
+}
+
+// Within reports whether no resource is above that of b.
+func (a Amounts) Within(b Amounts) bool {
+	return a.CPUs <= b.CPUs && a.GPUs <= b.GPUs && a.Memory <= b.Memory
+}
+
+// IsZero reports whether there is nothing.
+func (a Amounts) IsZero() bool { return a == Amounts{} }
+
+// least and most are taken resource by resource.
+func least(a, b Amounts) Amounts {
+	return each(func(i int) int64 { return min(*a.at(i), *b.at(i)) })
+}
+
+func most(a, b Amounts) Amounts {
+	return each(func(i int) int64 { return max(*a.at(i), *b.at(i)) })
+}
+
+// share is whole*part/of, rounded down, for 0 <= part <= of.
+func share(whole, part, of int64) int64 {
+	if of == 0 {
+		return 0
+	}
+	hi, lo := bits.Mul64(uint64(whole), uint64(part))
+	q, _ := bits.Div64(hi, lo, uint64(of))
+	return int64(q)
+}
+
+// ratioLess reports whether a/b < c/d, for amounts that are not negative and
+// weights above 0.
+func ratioLess(a, b, c, d int64) bool {
+	h1, l1 := bits.Mul64(uint64(a), uint64(d))
+	h2, l2 := bits.Mul64(uint64(c), uint64(b))
+	return h1 < h2 || h1 == h2 && l1 < l2
+}
+
+// check reports amounts that no node may have.
+func (a Amounts) check(field string, unlimited bool) error {
+	for i, name := range names {
+		switch x := *a.at(i); {
+		case x == Unlimited && unlimited:
+		case x < 0 || x > Most:
+			return fmt.Errorf("%s.%s: %d is not between 0 and %d", field, name, x, Most)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quota/change.go
@@ -0,0 +1,204 @@
+package quota
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Operations on a tree.
+const (
+	OpGrant  = "grant"  // sets a node's guarantee, limit or weight to more
+	OpShrink = "shrink" // or to less
+	OpAdd    = "add"
+	OpRemove = "remove"
+	OpMove   = "move" // below another parent
+)
+
+// Change is what an operator asks for. ID names it for ever: a change that is
+// repeated lands once. Version is that of the tree which the operator saw.
+type Change struct {
+	ID        string   `msgpack:"id"`
+	Version   uint64   `msgpack:"version"`
+	Op        string   `msgpack:"op"`
+	Name      string   `msgpack:"name"`
+	Parent    string   `msgpack:"parent,omitempty"`    // add, move
+	Guarantee *Amounts `msgpack:"guarantee,omitempty"` // add, grant, shrink
+	Limit     *Amounts `msgpack:"limit,omitempty"`     // add, grant, shrink
+	Weight    int64    `msgpack:"weight,omitempty"`    // add, grant, shrink; 0: as it is, or 1
+	Team      string   `msgpack:"team,omitempty"`      // add
+	Classes   []string `msgpack:"classes,omitempty"`   // add
+}
+
+// Refusal says why a change is not made.
+type Refusal struct {
+	Malformed bool // not a change at all, whatever the tree
+	Stale     bool // made for another version
+	Why       string
+}
+
+func (r *Refusal) Error() string { return r.Why }
+
+func malformed(format string, args ...any) *Refusal {
+	return &Refusal{Malformed: true, Why: fmt.Sprintf("quota: change."+format, args...)}
+}
+
+func refused(err error) *Refusal { return &Refusal{Why: err.Error()} }
+
+// recent is how many changes are remembered by their ids: what is older is stale
+// by its version anyway, since each change raises that by one.
+const recent = 64
+
+// Book is a tree with its version and the changes that made it.
+type Book struct {
+	Tree    *Tree
+	Version uint64
+	Landed  []Landed // the latest last
+}
+
+// Landed is a change that was made.
+type Landed struct {
+	ID      string `msgpack:"id"`
+	Version uint64 `msgpack:"v"` // that it made
+}
+
+// Decide makes a change, or says why not. The version given back is that which the
+// change made, also when it had landed before. Touched names the nodes whose records
+// differ now; the book is a new one, and the old one stays as it was, so that what is
+// not committed need not be taken back.
+func (b *Book) Decide(c *Change) (next *Book, version uint64, touched []string, err *Refusal) {
+	if err := c.check(); err != nil {
+		return nil, 0, nil, err
+	}
+	for _, l := range b.Landed {
+		if l.ID == c.ID {
+			return b, l.Version, nil, nil
+		}
+	}
+	if c.Version != b.Version {
+		return nil, 0, nil, &Refusal{Stale: true, Why: fmt.Sprintf("quota: change.version: %d is not the present %d", c.Version, b.Version)}
+	}
+	tree, touched, err := b.Tree.apply(c)
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	next = &Book{Tree: tree, Version: b.Version + 1}
+	next.Landed = append(slices.Clone(b.Landed[max(len(b.Landed)-recent+1, 0):]), Landed{c.ID, next.Version})
+	return next, next.Version, touched, nil
+}
+
+func (c *Change) check() *Refusal {
+	if c.ID == "" || len(c.ID) > MaxName {
+		return malformed("id: 1 to %d characters are needed", MaxName)
+	}
+	if c.Name == "" {
+		return malformed("name: missing")
+	}
+	sizes := c.Guarantee != nil || c.Limit != nil || c.Weight != 0
+	switch c.Op {
+	case OpGrant, OpShrink:
+		if !sizes {
+			return malformed("guarantee: a %s needs a guarantee, a limit or a weight", c.Op)
+		}
+		if c.Parent != "" || c.Team != "" || c.Classes != nil {
+			return malformed("parent: a %s changes amounts only", c.Op)
+		}
+	case OpAdd:
+		if c.Guarantee == nil || c.Limit == nil {
+			return malformed("limit: a new node needs a guarantee and a limit")
+		}
+	case OpRemove, OpMove:
+		if sizes || c.Team != "" || c.Classes != nil || c.Op == OpRemove && c.Parent != "" {
+			return malformed("guarantee: a %s changes no amounts", c.Op)
+		}
+	default:
+		return malformed("op: %q is none of grant, shrink, add, remove and move", c.Op)
+	}
+	return nil
+}
+
+// apply gives the tree after a change, with all that is held.
+func (t *Tree) apply(c *Change) (*Tree, []string, *Refusal) {
+	specs := make([]Spec, 0, len(t.order)+1)
+	for _, n := range t.order {
+		specs = append(specs, n.Spec)
+	}
+	at := slices.IndexFunc(specs, func(s Spec) bool { return s.Name == c.Name })
+	if at < 0 && c.Op != OpAdd {
+		return nil, nil, refused(fault(c.Name, "name: there is no such node"))
+	}
+	switch c.Op {
+	case OpGrant, OpShrink:
+		s := &specs[at]
+		for _, f := range []struct {
+			name    string
+			to, old *Amounts
+		}{{"guarantee", c.Guarantee, &s.Guarantee}, {"limit", c.Limit, &s.Limit}} {
+			if f.to == nil {
+				continue
+			}
+			less, more := f.to.Within(*f.old), f.old.Within(*f.to)
+			if c.Op == OpGrant && !more || c.Op == OpShrink && !less {
+				return nil, nil, refused(fault(c.Name, "%s: a %s can't set %v to %v", f.name, c.Op, *f.old, *f.to))
+			}
+			*f.old = *f.to
+		}
+		if c.Op == OpShrink && c.Limit != nil && c.Guarantee == nil {
+			s.Guarantee = least(s.Guarantee, s.Limit) // nobody is guaranteed more than the limit
+		}
+		if c.Weight != 0 {
+			s.Weight = c.Weight
+		}
+	case OpAdd:
+		specs = append(specs, Spec{Name: c.Name, Parent: c.Parent, Guarantee: *c.Guarantee, Limit: *c.Limit,
+			Weight: max(c.Weight, 1), Team: c.Team, Classes: c.Classes})
+	case OpRemove:
+		n := t.nodes[c.Name]
+		if len(n.children) > 0 {
+			return nil, nil, refused(fault(c.Name, "name: has children"))
+		}
+		if !n.held.IsZero() {
+			return nil, nil, refused(fault(c.Name, "name: holds %v; shrink it to nothing first", n.held))
+		}
+		specs = slices.Delete(specs, at, at+1)
+	case OpMove:
+		specs[at].Parent = c.Parent
+	}
+	next, err := Build(specs)
+	if err != nil {
+		return nil, nil, refused(err)
+	}
+	for _, n := range t.order {
+		if m := next.nodes[n.Name]; m != nil && len(n.children) == 0 && len(m.children) == 0 {
+			next.Take(m, n.held)
+			next.Want(m, n.wanted)
+		}
+	}
+	if err := next.follows(t, c); err != nil {
+		return nil, nil, refused(err)
+	}
+	return next, []string{c.Name}, nil
+}
+
+// follows judges what Build does not: a node gives its children no more than it
+// holds, unless a shrink of its own made it so, and a subtree that moves while in
+// use fits where it goes at once.
+func (t *Tree) follows(before *Tree, c *Change) error {
+	for _, n := range t.order {
+		over := n.excess()
+		if old := before.nodes[n.Name]; old != nil && (over.Within(old.excess()) || c.Op == OpShrink) {
+			continue
+		}
+		if !over.IsZero() {
+			return fault(n.Name, "guarantee: its children would have %v more than it", over)
+		}
+	}
+	if c.Op != OpMove && c.Op != OpAdd {
+		return nil
+	}
+	for n := t.nodes[c.Name].parent; n != nil; n = n.parent {
+		if old := before.nodes[n.Name]; n.held != old.held && !n.held.Within(most(n.Limit, old.held)) {
+			return fault(n.Name, "limit: %v held by %s do not fit", t.nodes[c.Name].held, c.Name)
+		}
+	}
+	return nil
+}
