--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// before is the limits in force when a step begins: a start must fit them as they
-// are, not as it makes them.
+// starts tries a start. It must fit the limits in force as they are when the step
+// begins, not as it makes them.
 func (m *model) starts(n *Node, need Amounts) {
 	limits := map[string]Amounts{}
 	for a := n; a != nil; a = a.parent {
@@ -437,6 +437,15 @@
 	if office.InForce() != cpus(100) || office.Guarantee != half || north.Entitled() != cpus(30) || south.Entitled() != cpus(20) {
 		t.Errorf("in force %v, guaranteed %v, entitled %v and %v", office.InForce(), office.Guarantee, north.Entitled(), south.Entitled())
 	}
+	if err := tree.Divided(); err == nil || !strings.Contains(err.Error(), "office.guarantee") {
+		t.Errorf("the office has guaranteed more than it holds: %v", err)
+	}
+	if name, ok := tree.Possible(north, cpus(51)); ok || name != "office" {
+		t.Errorf("51 CPUs below an office of 50: %s %v", name, ok)
+	}
+	if _, ok := tree.Possible(north, half); !ok {
+		t.Error("50 CPUs do not fit an office of 50, though it is only full now")
+	}
 	due := map[string]int64{}
 	for _, d := range tree.Dues() {
 		if due[d.Leaf.Name] += d.Amount.CPUs; !d.Shrink {
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -244,13 +244,6 @@
 	}
 }
 
-// Reset forgets what is held and wanted.
-func (t *Tree) Reset() {
-	for _, n := range t.order {
-		n.held, n.wanted, n.claim = Amounts{}, Amounts{}, Amounts{}
-	}
-}
-
 // Take adds what a task of a leaf holds, from the decision to start it on; Give
 // takes it away once the task's absence is proven.
 func (t *Tree) Take(leaf *Node, need Amounts) { t.move(leaf, need, 1) }
