Read once more: one predicate, one stop, one comparison instead of twins

Behaviour is the same; found by reading the whole change again: - that a machine was up under an earlier leader was worked out in two places; - a stop without time to save was written out in three; - Retire was handed what its input knows; - the heap was ordered where zones make it a mere list; - quotas: two comparisons of shares, two sums of guarantees, a function that named a node for nobody, and a list of changed nodes that is always the one the change names. Left apart: the clients of workers and cloud begin alike, but a 503 means unknown from one and refused from the other.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -433,7 +433,7 @@
 		return false
 	}
 	up := slices.ContainsFunc(c.order, func(m *sched.Machine) bool {
-		return !m.Releasing && (m.Up || m.Known-m.Since > 2*clock.FromSeconds(m.Type.Boot))
+		return !m.Releasing && (m.Up || m.Inherited())
 	})
 	if !up {
 		return false
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -246,7 +246,7 @@
 		return
 	}
 	limit := 2 + int(c.pol.Emptying*float64(len(c.order)))
-	for _, m := range in.Retire(c.fresh(), limit-retiring) {
+	for _, m := range in.Retire(limit - retiring) {
 		m.Retiring = true
 		slog.Debug("retiring machine", "machine", m.ID)
 	}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -91,17 +91,23 @@
 	return renew
 }
 
+// stopNow ends a task without time to save.
+func stopNow(task string, attempt uint64) wire.Command {
+	grace := 0.0
+	return wire.Command{Op: wire.OpStop, Task: task, Attempt: attempt, Grace: &grace}
+}
+
 // cancelledIn lists the stops that answer a report under an older token. Such a
 // report proves nothing, but what is cancelled for good must go: a chain of leaders,
 // each of which ended before the worker had acknowledged it, renewed a lease beyond
 // cancel_s and never stopped the task, found at four seconds between reports.
 func (c *Core) cancelledIn(r *wire.Report) []wire.Command {
-	stop, grace := []wire.Command{}, 0.0
+	stop := []wire.Command{}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, _, _ := wire.SplitTask(t.Task)
 		if j := c.jobs[id]; j != nil && j.Shown == wire.PhaseCancelled && t.State != wire.TaskExited {
-			stop = append(stop, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, Grace: &grace})
+			stop = append(stop, stopNow(t.Task, t.Attempt))
 		}
 	}
 	return stop
@@ -160,10 +166,10 @@
 // nothing, and stops only what is cancelled for good: one fading leader after the
 // other could otherwise keep that alive beyond the time it has.
 func cancelledOn(m *sched.Machine, held []*sched.Placement) []wire.Command {
-	stop, grace := []wire.Command{}, 0.0
+	stop := []wire.Command{}
 	for _, p := range held {
 		if m.Places[p.Task] == p && p.Sent && !p.Exited && p.Job != nil && p.Job.Shown == wire.PhaseCancelled {
-			stop = append(stop, wire.Command{Op: wire.OpStop, Task: p.Task, Attempt: p.Attempt, Grace: &grace})
+			stop = append(stop, stopNow(p.Task, p.Attempt))
 		}
 	}
 	return stop
@@ -215,8 +221,7 @@
 			return wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt}, true
 		}
 	} else if !free || m.Places[t.Task] != nil {
-		zero := 0.0
-		return wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, Grace: &zero}, true
+		return stopNow(t.Task, t.Attempt), true
 	}
 	slog.Info("adopting a task", "task", t.Task, "machine", m.ID)
 	p := &sched.Placement{Job: j, Index: index, Task: t.Task, Attempt: t.Attempt, Machine: m,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,7 +50,7 @@
 // then, has not reported to this one though it has had the time. It may be cut off
 // or long returned: room that is awaited there would be awaited in vain.
 func (in *Input) missing(m *sched.Machine) bool {
-	return !m.Up && m.Known-m.Since > 2*clock.FromSeconds(m.Type.Boot) && in.Now-m.Known > in.Fresh
+	return !m.Up && m.Inherited() && in.Now-m.Known > in.Fresh
 }
 
 // Buy is a rental to make.
@@ -410,7 +410,7 @@
 // others, with the headroom for services to spare. Those that cost most for what
 // they hold come first. What is passed over once has no room later either, so one
 // pass finds them all.
-func (in *Input) Retire(fresh sched.Micros, n int) []*sched.Machine {
+func (in *Input) Retire(n int) []*sched.Machine {
 	if n <= 0 {
 		return nil
 	}
@@ -427,7 +427,7 @@
 		case m.Retiring && !m.Releasing:
 			all -= m.Type.CPUs - room
 			ordinary -= m.Production()
-		case m.Usable(in.Now, fresh):
+		case m.Usable(in.Now, in.Fresh):
 			all += room
 			price := m.Type.SpotPrice
 			if !m.Spot {
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -87,9 +87,9 @@
 		"spot machines empty too":              {[]*sched.Machine{running(0, true, 1, 4, batch), running(1, true, 2, 4, batch)}, 0, 0},
 		"ordinary before spot, which is cheap": {[]*sched.Machine{running(0, true, 1, 4, batch), running(1, false, 1, 4, batch)}, 0, 1},
 	} {
-		in := &Input{Catalog: catalog, Machines: c.machines, Headroom: c.headroom}
+		in := &Input{Catalog: catalog, Machines: c.machines, Headroom: c.headroom, Fresh: clock.Second}
 		got := -1
-		if list := in.Retire(clock.Second, 1); len(list) > 0 {
+		if list := in.Retire(1); len(list) > 0 {
 			got = slices.Index(c.machines, list[0])
 		}
 		if got != c.want {
@@ -97,15 +97,15 @@
 		}
 	}
 	// What is being emptied needs the room of the others too.
-	in := &Input{Catalog: catalog}
+	in := &Input{Catalog: catalog, Fresh: clock.Second}
 	for i := range 3 {
 		in.Machines = append(in.Machines, running(i, false, 2, 4, batch))
 	}
-	if list := in.Retire(clock.Second, 3); len(list) != 1 {
+	if list := in.Retire(3); len(list) != 1 {
 		t.Errorf("empties %d at once, though the third has not the room for two", len(list))
 	}
-	in.Retire(clock.Second, 1)[0].Retiring = true
-	if list := in.Retire(clock.Second, 1); len(list) > 0 {
+	in.Retire(1)[0].Retiring = true
+	if list := in.Retire(1); len(list) > 0 {
 		t.Errorf("empties %s as well, though the third has not the room for both", list[0].ID)
 	}
 }
@@ -125,12 +125,12 @@
 func BenchmarkRetire(b *testing.B) {
 	for _, n := range []int{250, 1000, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			in := &Input{Catalog: catalog, Now: clock.Second}
+			in := &Input{Catalog: catalog, Now: clock.Second, Fresh: clock.Second}
 			for i := range n {
 				in.Machines = append(in.Machines, running(i, i%2 == 0, 1+i%3, 4, wire.KindArray))
 			}
 			for b.Loop() {
-				if list := in.Retire(clock.Second, 2+n/20); len(list) == 0 {
+				if list := in.Retire(2 + n/20); len(list) == 0 {
 					b.Fatal("empties none")
 				}
 			}
--- a/internal/quota/amounts.go
+++ b/internal/quota/amounts.go
@@ -3,6 +3,7 @@
 package quota
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/bits"
@@ -92,12 +93,12 @@
 	return int64(q)
 }
 
-// ratioLess reports whether a/b < c/d, for amounts that are not negative and
-// weights above 0.
-func ratioLess(a, b, c, d int64) bool {
+// compareShares compares a/b with c/d, for amounts that are not negative and weights
+// above 0.
+func compareShares(a, b, c, d int64) int {
 	h1, l1 := bits.Mul64(uint64(a), uint64(d))
 	h2, l2 := bits.Mul64(uint64(c), uint64(b))
-	return h1 < h2 || h1 == h2 && l1 < l2
+	return cmp.Or(cmp.Compare(h1, h2), cmp.Compare(l1, l2))
 }
 
 // check reports amounts that no node may have.
--- a/internal/quota/change.go
+++ b/internal/quota/change.go
@@ -62,28 +62,28 @@
 }
 
 // Decide makes a change, or says why not. The version given back is that which the
-// change made, also when it had landed before. Touched names the nodes whose records
-// differ now; the book is a new one, and the old one stays as it was, so that what is
+// change made, also when it had landed before. No spec but that of the node it names
+// differs then. The book is a new one, and the old one stays as it was, so that what is
 // not committed need not be taken back.
-func (b *Book) Decide(c *Change) (next *Book, version uint64, touched []string, err *Refusal) {
+func (b *Book) Decide(c *Change) (next *Book, version uint64, err *Refusal) {
 	if err := c.check(); err != nil {
-		return nil, 0, nil, err
+		return nil, 0, err
 	}
 	for _, l := range b.Landed {
 		if l.ID == c.ID {
-			return b, l.Version, nil, nil
+			return b, l.Version, nil
 		}
 	}
 	if c.Version != b.Version {
-		return nil, 0, nil, &Refusal{Stale: true, Why: fmt.Sprintf("quota: change.version: %d is not the present %d", c.Version, b.Version)}
+		return nil, 0, &Refusal{Stale: true, Why: fmt.Sprintf("quota: change.version: %d is not the present %d", c.Version, b.Version)}
 	}
-	tree, touched, err := b.Tree.apply(c)
+	tree, err := b.Tree.apply(c)
 	if err != nil {
-		return nil, 0, nil, err
+		return nil, 0, err
 	}
 	next = &Book{Tree: tree, Version: b.Version + 1}
 	next.Landed = append(slices.Clone(b.Landed[max(len(b.Landed)-recent+1, 0):]), Landed{c.ID, next.Version})
-	return next, next.Version, touched, nil
+	return next, next.Version, nil
 }
 
 func (c *Change) check() *Refusal {
@@ -117,14 +117,14 @@
 }
 
 // apply gives the tree after a change, with all that is held.
-func (t *Tree) apply(c *Change) (*Tree, []string, *Refusal) {
+func (t *Tree) apply(c *Change) (*Tree, *Refusal) {
 	specs := make([]Spec, 0, len(t.order)+1)
 	for _, n := range t.order {
 		specs = append(specs, n.Spec)
 	}
 	at := slices.IndexFunc(specs, func(s Spec) bool { return s.Name == c.Name })
 	if at < 0 && c.Op != OpAdd {
-		return nil, nil, refused(fault(c.Name, "name: there is no such node"))
+		return nil, refused(fault(c.Name, "name: there is no such node"))
 	}
 	switch c.Op {
 	case OpGrant, OpShrink:
@@ -138,7 +138,7 @@
 			}
 			less, more := f.to.Within(*f.old), f.old.Within(*f.to)
 			if c.Op == OpGrant && !more || c.Op == OpShrink && !less {
-				return nil, nil, refused(fault(c.Name, "%s: a %s can't set %v to %v", f.name, c.Op, *f.old, *f.to))
+				return nil, refused(fault(c.Name, "%s: a %s can't set %v to %v", f.name, c.Op, *f.old, *f.to))
 			}
 			*f.old = *f.to
 		}
@@ -154,10 +154,10 @@
 	case OpRemove:
 		n := t.nodes[c.Name]
 		if len(n.children) > 0 {
-			return nil, nil, refused(fault(c.Name, "name: has children"))
+			return nil, refused(fault(c.Name, "name: has children"))
 		}
 		if !n.held.IsZero() {
-			return nil, nil, refused(fault(c.Name, "name: holds %v; shrink it to nothing first", n.held))
+			return nil, refused(fault(c.Name, "name: holds %v; shrink it to nothing first", n.held))
 		}
 		specs = slices.Delete(specs, at, at+1)
 	case OpMove:
@@ -165,7 +165,7 @@
 	}
 	next, err := Build(specs)
 	if err != nil {
-		return nil, nil, refused(err)
+		return nil, refused(err)
 	}
 	for _, n := range t.order {
 		if m := next.nodes[n.Name]; m != nil && len(n.children) == 0 && len(m.children) == 0 {
@@ -174,9 +174,9 @@
 		}
 	}
 	if err := next.follows(t, c); err != nil {
-		return nil, nil, refused(err)
+		return nil, refused(err)
 	}
-	return next, []string{c.Name}, nil
+	return next, nil
 }
 
 // follows judges what Build does not: a node gives its children no more than it
--- a/internal/quota/lend.go
+++ b/internal/quota/lend.go
@@ -28,10 +28,7 @@
 // pass its limit. Where a node goes beyond its entitlement it borrows from its
 // siblings, and must leave them what they wait for and are entitled to: an idle
 // share is lent, an asked one is not.
-func (t *Tree) Allows(leaf *Node, need Amounts) bool { return t.short(leaf, need) == nil }
-
-// short finds the node that keeps a task from starting.
-func (t *Tree) short(leaf *Node, need Amounts) *Node {
+func (t *Tree) Allows(leaf *Node, need Amounts) bool {
 	var below *Node
 	var reserve Amounts // claims of others that go before, wherever they are below n
 	borrows := false
@@ -40,11 +37,11 @@
 			reserve = reserve.Plus(n.claim.Minus(below.claim))
 		}
 		if !need.fits(n.Limit.Minus(n.held).Minus(reserve)) {
-			return n
+			return false
 		}
 		borrows = !need.fits(n.entl.Minus(n.held))
 	}
-	return nil
+	return true
 }
 
 // fits reports whether there is room for what is needed; what is not needed at all
@@ -85,14 +82,7 @@
 	if a == b {
 		return 0
 	}
-	x, y := a.borrowed(), b.borrowed()
-	switch {
-	case ratioLess(x, a.Weight, y, b.Weight):
-		return -1
-	case ratioLess(y, b.Weight, x, a.Weight):
-		return 1
-	}
-	return 0
+	return compareShares(a.borrowed(), a.Weight, b.borrowed(), b.Weight)
 }
 
 // borrowed is the CPUs held beyond the entitlement: the measure by which lenders'
@@ -157,15 +147,15 @@
 	dues  []Due
 }
 
-// collect takes an amount back from below n. What the child named by spare holds is
-// left alone: it is the one that asks.
-func (g *giver) collect(n *Node, amount Amounts, spare *Node, due Due) Amounts {
+// collect takes an amount back from below n. What the child named by asks holds is
+// left alone.
+func (g *giver) collect(n *Node, amount Amounts, asks *Node, due Due) Amounts {
 	if len(n.children) == 0 {
-		have := n.held.Minus(g.given[n])
-		if !due.Shrink {
-			have = most(have.Minus(n.entl), Amounts{})
+		have := g.beyond(n)
+		if due.Shrink {
+			have = n.held.Minus(g.given[n])
 		}
-		got := least(amount, most(have, Amounts{}))
+		got := least(amount, have)
 		if got.IsZero() {
 			return got
 		}
@@ -178,34 +168,22 @@
 	}
 	list := slices.Clone(n.children)
 	slices.SortStableFunc(list, func(a, b *Node) int {
-		x, y := g.beyond(a).CPUs, g.beyond(b).CPUs
-		switch {
-		case ratioLess(y, b.Weight, x, a.Weight):
-			return -1
-		case ratioLess(x, a.Weight, y, b.Weight):
-			return 1
-		}
-		return cmp.Compare(a.Name, b.Name)
+		return cmp.Or(compareShares(g.beyond(b).CPUs, b.Weight, g.beyond(a).CPUs, a.Weight), cmp.Compare(a.Name, b.Name))
 	})
 	var total Amounts
+	from := func(c *Node, bound Amounts) {
+		if ask := least(amount.Minus(total), bound); c != asks && !ask.IsZero() {
+			total = total.Plus(g.collect(c, ask, nil, due))
+		}
+	}
 	// Those beyond their entitlement give first, and no more than that; a shrink goes
 	// on with what was guaranteed.
-	for round := 0; round < 2; round++ {
-		if round == 1 && !due.Shrink {
-			break
-		}
+	for _, c := range list {
+		from(c, g.beyond(c))
+	}
+	if due.Shrink {
 		for _, c := range list {
-			if c == spare {
-				continue
-			}
-			ask := amount.Minus(total)
-			if round == 0 {
-				ask = least(ask, g.beyond(c))
-			}
-			if ask.IsZero() {
-				continue
-			}
-			total = total.Plus(g.collect(c, ask, nil, due))
+			from(c, amount)
 		}
 	}
 	return total
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -181,7 +181,7 @@
 	case OpMove:
 		c.Parent = rapid.SampledFrom(tree.Nodes()).Draw(t, "parent").Name
 	}
-	next, version, _, err := m.book.Decide(c)
+	next, version, err := m.book.Decide(c)
 	if err != nil {
 		return
 	}
@@ -189,12 +189,12 @@
 		t.Fatalf("version %d after %d", version, m.book.Version)
 	}
 	m.book = next
-	if _, again, _, err := next.Decide(c); err != nil || again != version {
+	if _, again, err := next.Decide(c); err != nil || again != version {
 		t.Fatalf("a repeated change: version %d, %v", again, err)
 	}
 	stale := *c
 	stale.ID += "x"
-	if _, _, _, err := next.Decide(&stale); err == nil || !err.Stale {
+	if _, _, err := next.Decide(&stale); err == nil || !err.Stale {
 		t.Fatalf("a stale change: %v", err)
 	}
 }
@@ -403,7 +403,7 @@
 		"change.limit: a new node needs":    {ID: "1", Version: 7, Op: OpAdd, Name: "east"},
 		"north.guarantee: its children wou": {ID: "1", Version: 7, Op: OpMove, Name: "south", Parent: "north"},
 	} {
-		if _, _, _, err := book.Decide(&c); err == nil || !strings.Contains(err.Error(), want) {
+		if _, _, err := book.Decide(&c); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v", want, err)
 		}
 	}
@@ -428,7 +428,7 @@
 	tree.Take(tree.Node("transcode"), cpus(50))
 	tree.Take(tree.Node("ingest"), cpus(10))
 	half := cpus(50)
-	book, _, _, refusal := book.Decide(&Change{ID: "1", Version: 1, Op: OpShrink, Name: "office", Limit: &half})
+	book, _, refusal := book.Decide(&Change{ID: "1", Version: 1, Op: OpShrink, Name: "office", Limit: &half})
 	if refusal != nil {
 		t.Fatal(refusal)
 	}
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -210,14 +210,16 @@
 
 // excess is what a node's children are guaranteed beyond what it is.
 func (n *Node) excess() Amounts {
-	if len(n.children) == 0 {
-		return Amounts{}
-	}
+	return most(n.granted().Minus(n.Guarantee), Amounts{})
+}
+
+// granted is what a node's children are guaranteed in all.
+func (n *Node) granted() Amounts {
 	var sum Amounts
 	for _, c := range n.children {
 		sum = sum.Plus(c.Guarantee)
 	}
-	return most(sum.Minus(n.Guarantee), Amounts{})
+	return sum
 }
 
 // entitle works out what each guarantee is worth. A node's own counts in full at
@@ -228,10 +230,7 @@
 		n.entl = n.Guarantee
 	}
 	for _, n := range t.order {
-		var sum Amounts
-		for _, c := range n.children {
-			sum = sum.Plus(c.Guarantee)
-		}
+		sum := n.granted()
 		for _, c := range n.children {
 			c.entl = each(func(i int) int64 {
 				g, all, have := *c.Guarantee.at(i), *sum.at(i), *n.entl.at(i)
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -177,6 +177,10 @@
 // Size is the machine's whole room.
 func (m *Machine) Size() Need { return Need{m.Type.CPUs, m.Type.GPUs, m.Type.MemoryGB} }
 
+// Inherited reports whether an earlier leader knew the machine, old enough to have
+// been up then.
+func (m *Machine) Inherited() bool { return m.Known-m.Since > 2*clock.FromSeconds(m.Type.Boot) }
+
 // Busy reports whether any task holds a place.
 func (m *Machine) Busy() bool { return len(m.Places) > 0 }
 
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -244,7 +244,9 @@
 	held := j.Zones(nil)
 	p.warm = warm
 	p.scoreAll(j, "")
-	heap.Init(p)
+	if held == nil {
+		heap.Init(p)
+	}
 	for len(j.Queue) > 0 {
 		if !team.Allows(j.Need()) {
 			return // the limit, not room, holds it back: no machine is bought for it
