--- a/client/client.go
+++ b/client/client.go
@@ -29,23 +29,28 @@
 
 // Submit submits a job; the same job may be submitted again.
 func (c *Client) Submit(job *wire.Job) (*wire.JobStatus, error) {
-	return c.do(http.MethodPost, "/v2/runs", job)
+	return do[wire.JobStatus](c, http.MethodPost, "/v2/runs", job)
 }
 
 // Status asks for a job's state.
 func (c *Client) Status(id string) (*wire.JobStatus, error) {
-	return c.do(http.MethodGet, "/v2/runs/"+id, nil)
+	return do[wire.JobStatus](c, http.MethodGet, "/v2/runs/"+id, nil)
 }
 
 // Cancel cancels a job.
 func (c *Client) Cancel(id string) (*wire.JobStatus, error) {
-	return c.do(http.MethodPost, "/v2/runs/"+id+"/cancel", nil)
+	return do[wire.JobStatus](c, http.MethodPost, "/v2/runs/"+id+"/cancel", nil)
 }
 
-func (c *Client) do(method, path string, in any) (*wire.JobStatus, error) {
+// Admission asks how the node shares submissions, and the leader machines.
+func (c *Client) Admission() (*wire.Admission, error) {
+	return do[wire.Admission](c, http.MethodGet, "/admission", nil)
+}
+
+func do[T any](c *Client, method, path string, in any) (*T, error) {
 	give := time.Now().Add(patience)
 	for {
-		st := new(wire.JobStatus)
+		st := new(T)
 		status, raw, header, err := c.rpc.Call(method, path, in, st, 5*time.Second)
 		switch {
 		case status == http.StatusOK || status == http.StatusCreated:
--- a/cmd/lilacthread/main.go
+++ b/cmd/lilacthread/main.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"runtime"
 	"runtime/debug"
 	"strings"
+	"text/tabwriter"
 
 	"github.com/alecthomas/kong"
 
@@ -29,6 +31,8 @@
 	Status  statusCmd  `cmd:"" help:"Show a job's state."`
 	Cancel  cancelCmd  `cmd:"" help:"Cancel a job."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+
+	Admission admissionCmd `cmd:"" help:"Show how submissions and machines are shared."`
 }
 
 // usageError ends the program with exit code 2.
@@ -54,6 +58,9 @@
 	if err != nil {
 		return nil, nil, usageError{err}
 	}
+	if err := pol.Check(cfg.Classes()); err != nil {
+		return nil, nil, usageError{err}
+	}
 	return cfg, pol, nil
 }
 
@@ -150,6 +157,51 @@
 	return json.NewEncoder(os.Stdout).Encode(map[string]any{"id": st.ID, "state": phase, "done": st.Done, "running": st.Running})
 }
 
+type admissionCmd struct {
+	target
+	JSON bool `name:"json" help:"As JSON."`
+}
+
+func (s *admissionCmd) Run() error {
+	a, err := client.New(s.Addr).Admission()
+	if err != nil {
+		return err
+	}
+	if s.JSON {
+		return json.NewEncoder(os.Stdout).Encode(a)
+	}
+	return printAdmission(os.Stdout, a)
+}
+
+// printAdmission prints the table, a line an account.
+func printAdmission(w io.Writer, a *wire.Admission) error {
+	mode := map[bool]string{false: "usual order", true: "overload"}[a.Over]
+	switch {
+	case !a.On:
+		mode = "off"
+	case a.Term == 0:
+		mode = "no valid table: this node takes its base only"
+	}
+	role := map[bool]string{false: "follows", true: "leads"}[a.Leads]
+	fmt.Fprintf(w, "node %s (%s), table %d of term %d: %s\n", a.Node, role, a.Number, a.Term, mode)
+	fmt.Fprintf(w, "may make %.1f changes a second; %d submissions wait, the oldest for %.3f s\n", a.Rate, a.Waiting, a.Oldest)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "team\tclass\theld\twaiting\tfloor\tshare\trate\tpart\tspread\tqueued\ttaken\trefused\tknown\taccepted p50/p99 ms\tstarted p50/p99 s\tin time\t")
+	for _, x := range a.Accounts {
+		class, inTime := x.Class, "-"
+		if class == "" {
+			class = "(others)"
+		}
+		if x.Over > 0 {
+			inTime = fmt.Sprintf("%d of %d", x.InTime, x.Over)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%d s\t%d\t%d\t%d\t%d\t%d/%d\t%.1f/%.1f\t%s\t\n", x.Team, class,
+			x.Held, x.Waiting, x.Floor, x.Share, x.Rate, x.Part, x.Slots, x.Queued, x.Taken, x.Refused, x.Known,
+			x.Accept50, x.Accept99, float64(x.Start50)/1000, float64(x.Start99)/1000, inTime)
+	}
+	return t.Flush()
+}
+
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,610 @@
+package admit
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lilacthread/internal/clock"
+)
+
+func testBook(classes int) *Book {
+	var aims []Aim
+	for i := range classes {
+		aims = append(aims, Aim{fmt.Sprintf("c%02d", i), Micros(100+i) * clock.Second})
+	}
+	return NewBook([]string{"t", "u"}, aims)
+}
+
+// TestBook: users can't make accounts, and books of other settings differ.
+func TestBook(t *testing.T) {
+	b := testBook(3)
+	if b.Len() != 8 || b.Of("t", "made up") != b.Of("t", "made up too") || b.Of("nobody", "c00") != -1 || b.Of("u", "c01") < 0 {
+		t.Errorf("%+v", b.Accounts)
+	}
+	if b.Digest == testBook(4).Digest || b.Digest != testBook(3).Digest {
+		t.Error("digest")
+	}
+}
+
+// world is nodes that ask the leader of the moment for tables over a bad network, each
+// with a clock of its own, and what they believe they may spend.
+type world struct {
+	book    *Book
+	limits  Limits
+	now     Micros // true time
+	skew    []int64
+	purses  []*Purse
+	giver   *Giver
+	leader  int
+	term    uint64
+	flying  []reply
+	highest []*Table // by node, the newest table taken
+}
+
+// reply is an answer under way.
+type reply struct {
+	to    int
+	life  *Purse
+	table *Table
+	asked Micros
+}
+
+// local is a node's steady clock: up to 0.05% fast or slow.
+func (w *world) local(node int) Micros { return w.now + w.now*Micros(w.skew[node])/10_000 }
+
+func newWorld(nodes, classes int, skew []int64) *world {
+	w := &world{book: testBook(classes), limits: LimitsOf(100, nodes), skew: skew, now: clock.Second, highest: make([]*Table, nodes)}
+	for range nodes {
+		w.purses = append(w.purses, NewPurse(w.book, w.limits))
+	}
+	w.elect(0)
+	return w
+}
+
+func (w *world) elect(node int) {
+	w.term++
+	w.leader = node
+	w.giver = NewGiver(w.book, fmt.Sprint(node), w.term, w.local(node), w.limits)
+}
+
+// ask has a node send its notice and the leader answer; the answer is under way.
+func (w *world) ask(node int) {
+	now := w.local(w.leader)
+	w.giver.Hear(fmt.Sprint(node), w.purses[node].Notice(func(int) int { return 0 }, w.local(node)), now)
+	w.flying = append(w.flying, reply{node, w.purses[node], w.giver.Give(fmt.Sprint(node), now), w.local(node)})
+}
+
+func (w *world) deliver(i int) error {
+	r := w.flying[i]
+	w.flying = slices.Delete(w.flying, i, i+1)
+	p := w.purses[r.to]
+	if p != r.life { // restarted meanwhile
+		return nil
+	}
+	if p.Put(r.table, r.asked) {
+		if old := w.highest[r.to]; old != nil && !r.table.Newer(old) {
+			return fmt.Errorf("table %d/%d replaced %d/%d", r.table.Term, r.table.Number, old.Term, old.Number)
+		}
+		w.highest[r.to] = r.table
+	}
+	return nil
+}
+
+// check: parts in use, with the leader's own claim, never exceed an account or the pool.
+func (w *world) check() error {
+	spent := make([]int64, w.book.Len())
+	pool := int64(0)
+	var same map[[2]uint64][]Entry
+	for n, p := range w.purses {
+		t := p.Table(w.local(n))
+		if t == nil {
+			continue
+		}
+		sum := int64(0)
+		for a, e := range t.Accounts {
+			spent[a] += int64(e.Part)
+			sum += int64(e.Part)
+		}
+		pool += sum
+		if sum > 0 && n == w.leader && t.Term == w.term {
+			return fmt.Errorf("the leader gave itself a part")
+		}
+		if same == nil {
+			same = map[[2]uint64][]Entry{}
+		}
+		key := [2]uint64{t.Term, t.Number}
+		if o := same[key]; o != nil {
+			for a := range o {
+				for job := range 20 {
+					id := fmt.Sprintf("req-%06d", job)
+					if t.Turn(a, id) != (&Table{Number: t.Number, Accounts: o}).Turn(a, id) {
+						return fmt.Errorf("same table, another answer for %s", id)
+					}
+				}
+			}
+		}
+		same[key] = t.Accounts
+	}
+	if pool > w.limits.Pool {
+		return fmt.Errorf("parts of %d in use, the pool is %d", pool, w.limits.Pool)
+	}
+	// What the leader would make itself, it does on top of all others.
+	if out := w.giver.Out(w.local(w.leader)); pool > out {
+		return fmt.Errorf("parts of %d in use, the leader counts on %d", pool, out)
+	}
+	most := w.limits.Pool + w.limits.Base*int64(len(w.purses))
+	for a, s := range spent {
+		if s > most {
+			return fmt.Errorf("account %d: %d of %d in use", a, s, most)
+		}
+	}
+	return nil
+}
+
+// TestPartsWithinPool plays losses, delays, reorderings, restarts, leaders that change
+// and clocks that drift.
+func TestPartsWithinPool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(2, 6).Draw(t, "nodes")
+		w := newWorld(nodes, 2, rapid.SliceOfN(rapid.Int64Range(-5, 5), nodes, nodes).Draw(t, "skew"))
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1:
+				w.now += Micros(rapid.IntRange(1, 2_500_000).Draw(t, "dt"))
+			case 2:
+				w.giver.Next(w.local(w.leader), false, nil, nil)
+			case 3, 4, 5:
+				w.ask(node)
+			case 6, 7:
+				if len(w.flying) > 0 {
+					if err := w.deliver(rapid.IntRange(0, len(w.flying)-1).Draw(t, "which")); err != nil {
+						t.Fatal(err)
+					}
+				}
+			case 8:
+				for range rapid.IntRange(1, 200).Draw(t, "load") {
+					w.purses[node].Saw(rapid.IntRange(0, w.book.Len()-1).Draw(t, "account"), 1, w.local(node))
+				}
+			case 9:
+				if rapid.Bool().Draw(t, "restart") {
+					w.purses[node] = NewPurse(w.book, w.limits)
+					w.highest[node] = nil
+				} else {
+					w.elect(node)
+				}
+			}
+			if err := w.check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// TestHandOver explores every order of events of a hand-over with three nodes to a
+// depth: tables made, asked for, delivered late or lost, seconds that pass, a node
+// that restarts, leaders that change.
+func TestHandOver(t *testing.T) {
+	const depth = 7
+	states, seen := 0, map[string]bool{}
+	var explore func(path []int)
+	play := func(path []int) (*world, bool) {
+		w := newWorld(3, 1, []int64{0, 5, -5})
+		for _, step := range path {
+			if !w.step(step) {
+				return nil, false
+			}
+		}
+		return w, true
+	}
+	explore = func(path []int) {
+		w, ok := play(path)
+		if !ok {
+			return
+		}
+		if err := w.check(); err != nil {
+			t.Fatalf("%v: %v", path, err)
+		}
+		key := w.key() + fmt.Sprint(depth-len(path))
+		if seen[key] {
+			return
+		}
+		seen[key] = true
+		states++
+		if len(path) == depth {
+			return
+		}
+		for step := range steps {
+			explore(append(path[:len(path):len(path)], step))
+		}
+	}
+	explore(nil)
+	t.Logf("%d states to depth %d", states, depth)
+	if states < 2000 {
+		t.Errorf("only %d states", states)
+	}
+}
+
+const steps = 9
+
+// step does one of the events; false if it can't happen now.
+func (w *world) step(n int) bool {
+	switch n {
+	case 0: // a second with load at two nodes, and the table of it
+		w.now += clock.Second
+		w.purses[1].Saw(1, 300, w.local(1))
+		w.purses[2].Saw(1, 300, w.local(2))
+		w.giver.Next(w.local(w.leader), false, nil, nil)
+	case 1, 2:
+		w.ask(n)
+	case 3, 4: // the oldest or the newest answer arrives
+		if len(w.flying) < n-2 {
+			return false
+		}
+		i := 0
+		if n == 4 {
+			i = len(w.flying) - 1
+		}
+		return w.deliver(i) == nil
+	case 5:
+		w.now += 5 * clock.Second / 2
+	case 6, 7:
+		if w.leader == 6-n+1 {
+			return false
+		}
+		w.elect(n - 6 + 1)
+	case 8:
+		w.purses[1], w.highest[1] = NewPurse(w.book, w.limits), nil
+	}
+	return true
+}
+
+// key tells states apart: times are relative, so that equal states meet.
+func (w *world) key() string {
+	s := fmt.Sprint(w.term, w.leader, w.giver.number, w.giver.from-w.local(w.leader) > 0, w.now)
+	for n, p := range w.purses {
+		if t := p.Table(w.local(n)); t != nil {
+			s += fmt.Sprint("|", t.Term, t.Number, t.Accounts[1].Part, p.until-w.local(n))
+		}
+		s += fmt.Sprint(";", p.seen[1].rate > 1)
+	}
+	for _, r := range w.flying {
+		s += fmt.Sprint("/", r.to, r.life == w.purses[r.to], r.asked-w.now)
+		if r.table != nil {
+			s += fmt.Sprint(r.table.Term, r.table.Number, r.table.Accounts[1].Part)
+		}
+	}
+	return s
+}
+
+// TestPartsFollowDemand: a node with demand gets the pool, one that has none gives it
+// back within the life of a table.
+func TestPartsFollowDemand(t *testing.T) {
+	w := newWorld(3, 1, []int64{0, 0, 0})
+	round := func(busy ...int) {
+		w.now += clock.Second
+		for _, n := range busy {
+			for range 100 {
+				w.purses[n].Saw(1, 1, w.now)
+			}
+		}
+		for n := range w.purses {
+			w.ask(n)
+		}
+		w.giver.Next(w.now, false, nil, nil)
+		for n := range w.purses {
+			w.ask(n)
+		}
+		for len(w.flying) > 0 {
+			if err := w.deliver(0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	base, all := float64(w.limits.Base)/1000, float64(w.limits.Base+w.limits.Pool)/1000
+	for range 6 {
+		round(1)
+	}
+	if r := w.purses[1].Rate(w.now); r < all-0.1 {
+		t.Errorf("alone with demand: %v of %v", r, all)
+	}
+	for range 20 {
+		round(2)
+	}
+	if r, s := w.purses[1].Rate(w.now), w.purses[2].Rate(w.now); r > base+1 || s < all-1.5 {
+		t.Errorf("after the demand moved: %v and %v of %v", r, s, all)
+	}
+	w.now += 4 * clock.Second
+	if r := w.purses[2].Rate(w.now); r != base {
+		t.Errorf("without a valid table: %v, not the base %v", r, base)
+	}
+}
+
+// TestTurns: whoever comes back when told is taken within MaxSlots tables of his first
+// attempt, also while the number of slots changes, and those refused together do not
+// come back together.
+func TestTurns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job := fmt.Sprintf("req-%06d", rapid.IntRange(0, 999999).Draw(t, "job"))
+		tab := &Table{Number: uint64(rapid.IntRange(1, 100).Draw(t, "number")), Accounts: make([]Entry, 1)}
+		slots := uint32(1) << rapid.IntRange(0, 4).Draw(t, "slots")
+		waited := 0
+		for {
+			tab.Accounts[0].Slots = slots
+			wait := tab.Turn(0, job)
+			if wait == 0 {
+				break
+			}
+			tab.Number += uint64(wait)
+			if waited += wait; waited >= MaxSlots {
+				t.Fatalf("%d tables", waited)
+			}
+			slots = uint32(1) << rapid.IntRange(0, 4).Draw(t, "slots")
+		}
+	})
+	tab := &Table{Number: 3, Accounts: []Entry{{Slots: 8}}}
+	count := make([]int, 8)
+	for i := range 800 {
+		count[tab.Turn(0, fmt.Sprintf("req-%06d", i))]++
+	}
+	if slices.Max(count) > 150 || slices.Min(count) < 50 {
+		t.Errorf("not spread: %v", count)
+	}
+}
+
+// TestQueue plays arrivals in any order: bounds hold, nothing is lost, and an account
+// that waits is served its round whatever the others send.
+func TestQueue(t *testing.T) {
+	type item struct{ account, cost int }
+	rapid.Check(t, func(t *rapid.T) {
+		const accounts = 4
+		q := NewQueue[item](accounts, Bounds{Count: 60, Bytes: 4000})
+		in, out := 0, 0
+		passed := make([]int, accounts) // changes of others since an account waits and was not served
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "push") {
+				x := item{rapid.IntRange(0, accounts-1).Draw(t, "account"), rapid.IntRange(1, 6).Draw(t, "cost")}
+				bytes := rapid.IntRange(1, 100).Draw(t, "bytes")
+				if !q.Fits(x.account, bytes) {
+					if q.lanes[x.account].count == 0 && q.Len() < 59 && q.bytes+bytes <= 2000 {
+						t.Fatal("an empty lane was refused")
+					}
+					continue
+				}
+				q.Push(x.account, Rank(rapid.IntRange(0, 2).Draw(t, "rank")), x.cost, bytes, 0, x)
+				in++
+				if q.Len() > 60 || q.bytes > 4000 {
+					t.Fatal("bounds")
+				}
+				continue
+			}
+			x, ok := q.Pop(100, true, func(item) bool { return true })
+			if ok != (q.Len() > 0 || ok) || !ok && q.Len() > 0 {
+				t.Fatal("something waits and nothing is served")
+			}
+			if !ok {
+				continue
+			}
+			out++
+			for a := range accounts {
+				if a == x.account || q.Queued(a) == 0 {
+					passed[a] = 0
+				} else if passed[a] += x.cost; passed[a] > 2*(accounts-1)*(quantum+6) {
+					t.Fatalf("account %d was passed by %d changes", a, passed[a])
+				}
+			}
+		}
+		for q.Len() > 0 {
+			if _, ok := q.Pop(1, true, func(item) bool { return true }); !ok {
+				t.Fatal("stuck")
+			}
+			out++
+		}
+		if in != out || q.Cost() != 0 || q.bytes != 0 {
+			t.Fatalf("%d in, %d out", in, out)
+		}
+	})
+}
+
+// TestQueueBurst: one account's burst, however long and first, leaves the others room,
+// and a retry goes before newcomers of its account.
+func TestQueueBurst(t *testing.T) {
+	q := NewQueue[string](3, Bounds{Count: 100, Bytes: 1 << 20})
+	refused := 0
+	for range 500 {
+		if !q.Fits(0, 10) {
+			refused++
+			continue
+		}
+		q.Push(0, Newcomer, 1, 10, 1, "burst")
+	}
+	if refused == 0 || !q.Fits(1, 10) {
+		t.Fatalf("%d refused, %d wait", refused, q.Len())
+	}
+	q.Push(1, Newcomer, 1, 10, 2, "other")
+	q.Push(0, Chained, 1, 10, 3, "stage")
+	q.Push(0, Returning, 1, 10, 4, "retry")
+	var order []string
+	for range quantum + 1 {
+		x, _ := q.Pop(10, true, func(string) bool { return true })
+		order = append(order, x)
+	}
+	if !slices.Equal(order, []string{"retry", "stage", "burst", "burst", "other"}) {
+		t.Error(order)
+	}
+	if q.Ahead(1, Newcomer, 1) > 2*quantum+2 || q.Oldest(9) != 1 {
+		t.Errorf("ahead %d, oldest %d", q.Ahead(1, Newcomer, 1), q.Oldest(9))
+	}
+}
+
+// TestBudget: under a burst of one use the others keep their floors; unwanted floors
+// are lent.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(30, 500).Draw(t, "rate")
+		b := NewBudget(rate)
+		greedy := Use(rapid.IntRange(0, int(uses)-1).Draw(t, "greedy"))
+		modest := Use(rapid.IntRange(0, int(uses)-1).Draw(t, "modest"))
+		if greedy == modest {
+			return
+		}
+		b.Want(modest, true)
+		spent := [uses]int{}
+		at := time.UnixMicro(1e12)
+		const seconds = 20
+		for step := range seconds * 100 {
+			at = at.Add(10 * time.Millisecond)
+			n := int(b.Room(at, greedy))
+			b.Spend(at, greedy, n)
+			spent[greedy] += n
+			if step%5 == 0 {
+				n := int(b.Room(at, modest))
+				b.Spend(at, modest, n)
+				spent[modest] += n
+			}
+		}
+		if least := int(floors[modest]*rate*seconds*0.8) - 4; spent[modest] < least {
+			t.Fatalf("use %d got %d of its floor's %d beside %d", modest, spent[modest], least, greedy)
+		}
+		if most := int(rate*(seconds+1)) + 8; spent[greedy]+spent[modest] > most {
+			t.Fatalf("%d spent of %d", spent[greedy]+spent[modest], most)
+		}
+		b.Want(modest, false)
+		at = at.Add(5 * time.Second)
+		if n := int(b.Room(at, greedy)); n < b.Burst()-1 {
+			t.Fatalf("%d lent of %d", n, b.Burst())
+		}
+	})
+}
+
+// TestShares: an account with demand gets its floor, what one leaves others get, and
+// the shares are those of the whole room.
+func TestShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := testBook(rapid.IntRange(1, 4).Draw(t, "classes"))
+		teams := []Team{{"t", rapid.Float64Range(0, 500).Draw(t, "guarantee"), 0}, {"u", 100, 0}}
+		s := NewShares(book, teams, Rules{On: true, Floor: 0.2, Begins: clock.Second})
+		demands := make([]Demand, book.Len())
+		sum, active := 0.0, 0
+		for i := range demands {
+			demands[i] = Demand{Held: rapid.Float64Range(0, 50).Draw(t, "held"), Waiting: float64(rapid.IntRange(0, 3).Draw(t, "some")) * 400}
+			demands[i].Work = (demands[i].Held + demands[i].Waiting) * 100
+			demands[i].Fresh = demands[i].Work
+			sum += demands[i].Held + demands[i].Waiting
+			if demands[i].Held+demands[i].Waiting > 0 {
+				active++
+			}
+		}
+		capacity := rapid.Float64Range(1, 2000).Draw(t, "capacity")
+		dues := s.divide(capacity, demands)
+		given := 0.0
+		for i, d := range dues {
+			want := demands[i].Held + demands[i].Waiting
+			if d.Share > want+0.01 || d.Floor > d.Share+0.01 {
+				t.Fatalf("%+v of %+v", d, demands[i])
+			}
+			if floor := min(0.2*capacity/float64(active), want); d.Share < floor-0.02 {
+				t.Fatalf("share %v is below the floor %v", d.Share, floor)
+			}
+			given += d.Share
+		}
+		if want := min(sum, capacity); given < want-0.1 || given > want+0.1 {
+			t.Fatalf("%v given of %v", given, want)
+		}
+	})
+}
+
+// TestServedAlike: two classes whose bursts differ tenfold are served in like measure,
+// as the index by Jain shows, and a small one is not drowned.
+func TestServedAlike(t *testing.T) {
+	book := testBook(3)
+	s := NewShares(book, []Team{{"t", 0, 0}}, Rules{On: true, Floor: 0.2, Begins: clock.Second})
+	demands := make([]Demand, book.Len())
+	for i, cpus := range []float64{0, 10_000, 30_000, 100} {
+		demands[i] = Demand{Waiting: cpus, Work: cpus * 60, Fresh: cpus * 60}
+	}
+	dues := s.divide(10_000, demands)
+	a, b, small := dues[1].Share/10_000, dues[2].Share/30_000, dues[3].Share/100
+	if jain := (a + b) * (a + b) / (2 * (a*a + b*b)); jain < 0.95 || small < 0.99 {
+		t.Errorf("served %v and %v: %v; the small one %v", a, b, jain, small)
+	}
+}
+
+// TestMode: overload begins and ends late, so that the order does not flap, and not
+// while there are machines to be had.
+func TestMode(t *testing.T) {
+	book := testBook(1)
+	s := NewShares(book, []Team{{"t", 0, 0}}, Rules{On: true, Floor: 0.2, Begins: 30 * clock.Second})
+	demands := make([]Demand, book.Len())
+	judge := func(at int, waiting float64, room bool) bool {
+		demands[1] = Demand{Held: 100, Waiting: waiting, Work: (100 + waiting) * 50}
+		return s.Judge(Micros(at)*clock.Second, 100, room, demands) != nil
+	}
+	for _, c := range []struct {
+		at      int
+		waiting float64
+		room    bool
+		want    bool
+	}{{0, 10, false, false}, {10, 1000, true, false}, {20, 1000, false, false}, {24, 1000, false, true},
+		{25, 50, false, true}, {26, 5, false, true}, {27, 500, true, true}, {30, 5, true, true}, {40, 5, true, false}} {
+		if got := judge(c.at, c.waiting, c.room); got != c.want {
+			t.Errorf("at %d s with %v waiting: overload %v", c.at, c.waiting, got)
+		}
+	}
+}
+
+// TestNotices: a refusal is known to all nodes, bounded, and forgotten.
+func TestNotices(t *testing.T) {
+	book := testBook(1)
+	a, b := NewPurse(book, LimitsOf(100, 2)), NewPurse(book, LimitsOf(100, 2))
+	for i := range 3 * maxMemory {
+		a.Refused(1, 1, fmt.Sprintf("req-%06d", i), clock.Second)
+	}
+	n := a.Notice(func(int) int { return 7 }, clock.Second)
+	if len(n.Told) != maxTold || len(a.told.at) > maxMemory || n.Accounts[1].Queued != 7 || n.Accounts[1].Refused == 0 {
+		t.Errorf("%d told, %d remembered, %+v", len(n.Told), len(a.told.at), n.Accounts[1])
+	}
+	b.Told(n, 2*clock.Second)
+	if !b.Returns("req-000000", 3*clock.Second) || b.Returns("req-000000", 70*clock.Second) || b.Returns("req-999999", 3*clock.Second) {
+		t.Error("what a peer refused")
+	}
+	b.Told(&Notice{Digest: 1, Told: []uint32{Hash("req-999999")}}, 2*clock.Second)
+	if b.Returns("req-999999", 3*clock.Second) {
+		t.Error("a notice of other settings was taken")
+	}
+}
+
+// BenchmarkDecision is the cost of judging one submission among 1,000 accounts; a
+// refusal allocates nothing.
+func BenchmarkDecision(b *testing.B) {
+	book := testBook(499)
+	p := NewPurse(book, LimitsOf(100, 3))
+	t := &Table{Term: 1, Number: 1, Digest: book.Digest, Valid: valid, Accounts: make([]Entry, book.Len())}
+	for i := range t.Accounts {
+		t.Accounts[i].Slots = MaxSlots
+	}
+	p.Put(t, 0)
+	q := NewQueue[int](book.Len(), Bounds{Count: 400, Bytes: 1 << 20})
+	for i := range 300 {
+		q.Push(i*3, Newcomer, 1, 100, 0, i)
+	}
+	for i := range 2 * maxMemory { // its memory is full
+		p.Refused(3, 1, fmt.Sprintf("req-%06d", i), 0)
+	}
+	jobs := make([]string, 512)
+	for i := range jobs {
+		jobs[i] = fmt.Sprintf("req-%06d", i+500_000)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		job := jobs[i%len(jobs)]
+		account := book.Of("t", "c250")
+		if turn := p.Table(1).Turn(account, job); turn > 0 || q.Ahead(account, Newcomer, 1) > 10 {
+			p.Refused(account, 1, job, 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admit/purse.go
@@ -0,0 +1,195 @@
+package admit
+
+import (
+	"math"
+	"slices"
+
+	"lilacthread/internal/clock"
+)
+
+// Purse is what a node that takes submissions may spend of the state service's
+// changes, and what it saw of them. Its base is always its own; its part of the pool
+// is its own while its table is valid. Bases and pool together stay within the state
+// service's limit, so a node that is cut off from the leader needs nobody's leave to
+// fall back to its base.
+type Purse struct {
+	book   *Book
+	limits Limits
+	table  *Table
+	until  Micros // the table's end on this node's clock
+	seen   []arrival
+	told   memory   // jobs that were refused, here or at a peer
+	fresh  []uint32 // refused here since the last notice
+	counts []Counts
+}
+
+// arrival smooths what an account's submissions ask for.
+type arrival struct {
+	rate    float64 // changes a second
+	refused float64 // changes that will come back
+	at      Micros
+}
+
+// Counts is what became of an account's submissions at this node.
+type Counts struct {
+	Taken, Refused, Known uint64
+}
+
+// NewPurse makes the purse of a node.
+func NewPurse(book *Book, limits Limits) *Purse {
+	return &Purse{book: book, limits: limits, seen: make([]arrival, book.Len()), counts: make([]Counts, book.Len()),
+		told: memory{at: map[uint32]Micros{}}}
+}
+
+// SetLimits follows the state service's limits.
+func (p *Purse) SetLimits(l Limits) { p.limits = l }
+
+// Put takes a table over that was asked for at the given time. A table of an older
+// term or number, or made from other settings, changes nothing.
+func (p *Purse) Put(t *Table, asked Micros) bool {
+	if t == nil || t.Digest != p.book.Digest || len(t.Accounts) != p.book.Len() || t.Valid <= 0 || t.Valid > valid {
+		return false
+	}
+	if !t.Newer(p.table) {
+		return false
+	}
+	p.table, p.until = t, asked+t.Valid
+	return true
+}
+
+// Table is the valid table, or nil.
+func (p *Purse) Table(now Micros) *Table {
+	if p.table == nil || now >= p.until {
+		return nil
+	}
+	return p.table
+}
+
+// Rate is the changes a second that this node may spend on submissions.
+func (p *Purse) Rate(now Micros) float64 {
+	rate := p.limits.Base
+	if t := p.Table(now); t != nil {
+		part := int64(0)
+		for i := range t.Accounts {
+			part += int64(t.Accounts[i].Part)
+		}
+		rate += min(part, p.limits.Pool)
+	}
+	return float64(rate) / milli
+}
+
+// window is the memory of arrivals.
+const window = 2 * clock.Second
+
+func (a *arrival) fade(now Micros) {
+	if dt := now - a.at; dt > 0 {
+		f := math.Exp(-float64(dt) / float64(window))
+		a.rate, a.refused, a.at = a.rate*f, a.refused*f, now
+	}
+}
+
+// Saw notes a submission that asks for so many changes.
+func (p *Purse) Saw(account, changes int, now Micros) {
+	if account < 0 {
+		return
+	}
+	a := &p.seen[account]
+	a.fade(now)
+	a.rate += float64(changes) / window.Seconds()
+}
+
+// Took counts a submission that was accepted, or was known.
+func (p *Purse) Took(account int, known bool) {
+	switch {
+	case account < 0:
+	case known:
+		p.counts[account].Known++
+	default:
+		p.counts[account].Taken++
+	}
+}
+
+// Refused notes a submission that was told to come back.
+func (p *Purse) Refused(account, changes int, job string, now Micros) {
+	if account < 0 {
+		return
+	}
+	a := &p.seen[account]
+	a.fade(now)
+	a.refused += float64(changes)
+	p.counts[account].Refused++
+	if h := Hash(job); p.told.add(h, now) && len(p.fresh) < maxTold {
+		p.fresh = append(p.fresh, h)
+	}
+}
+
+// Returns reports whether a job was refused before, here or at a peer: it goes before
+// a newcomer of its account.
+func (p *Purse) Returns(job string, now Micros) bool {
+	at, ok := p.told.at[Hash(job)]
+	return ok && now-at < toldLife
+}
+
+// Told takes in whom a peer refused.
+func (p *Purse) Told(n *Notice, now Micros) {
+	if n == nil || n.Digest != p.book.Digest {
+		return
+	}
+	for _, h := range n.Told {
+		p.told.add(h, now)
+	}
+}
+
+// maxTold bounds the refused jobs that a notice names.
+const maxTold = 512
+
+// Notice is what this node tells its peers, with what waits in its queue.
+func (p *Purse) Notice(queued func(account int) int, now Micros) *Notice {
+	n := &Notice{Digest: p.book.Digest, Accounts: make([]Arrivals, p.book.Len()), Told: p.fresh}
+	p.fresh = nil
+	for i := range n.Accounts {
+		a := &p.seen[i]
+		a.fade(now)
+		n.Accounts[i] = Arrivals{Rate: clip(int64(a.rate * milli)), Queued: clip(int64(queued(i))), Refused: clip(int64(a.refused))}
+	}
+	return n
+}
+
+// Counts gives an account's counters.
+func (p *Purse) Counts(account int) Counts { return p.counts[account] }
+
+// memory holds hashes of jobs for a while, a bounded number of them.
+type memory struct {
+	at    map[uint32]Micros
+	order []uint32
+}
+
+const (
+	maxMemory = 8192
+	toldLife  = 60 * clock.Second // no user tries for longer
+)
+
+// add reports whether the hash is new.
+func (m *memory) add(h uint32, now Micros) bool {
+	if _, ok := m.at[h]; ok {
+		return false
+	}
+	for len(m.order) > 0 && (len(m.order) >= maxMemory || now-m.at[m.order[0]] >= toldLife) {
+		delete(m.at, m.order[0])
+		m.order = m.order[1:]
+	}
+	m.at[h] = now
+	m.order = append(m.order, h)
+	if cap(m.order) > 4*maxMemory {
+		m.order = slices.Clone(m.order)
+	}
+	return true
+}
+
+// Spread is when a user who is refused should come back, in seconds: after the wait
+// that stands before him, and not together with all others.
+func Spread(wait Micros, job string) int {
+	most := int64(MaxSlots)
+	seconds := min(max((int64(wait)+int64(clock.Second)-1)/int64(clock.Second), 1), most)
+	return int(min(seconds+int64(Hash(job))%seconds, most))
+}
--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,195 @@
+package admit
+
+import "slices"
+
+// Queue holds submissions that wait for the state service, a lane for each account.
+// Lanes are served by deficit round robin: each gets as many changes as any other
+// that has something waiting, whatever the sizes of its submissions and however many
+// of them there are.
+type Queue[T any] struct {
+	bounds Bounds
+	lanes  []lane[T]
+	ring   []int // lanes with something waiting, the next to be served first
+	count  int
+	bytes  int
+	cost   int
+}
+
+// Bounds of a queue.
+type Bounds struct {
+	Count int // submissions
+	Bytes int // of their records
+}
+
+// Rank is a place within a lane.
+type Rank int
+
+// Ranks, the first goes first.
+const (
+	Returning Rank = iota // was refused before
+	Chained               // a later stage of a pipeline that was accepted
+	Newcomer
+	ranks
+)
+
+type entry[T any] struct {
+	item        T
+	cost, bytes int
+	at          Micros
+}
+
+type lane[T any] struct {
+	entries [ranks][]entry[T]
+	costs   [ranks]int
+	count   int
+	cost    int
+	bytes   int
+	deficit int
+	fresh   bool // its turn has not begun
+}
+
+// quantum is the changes that a lane may take in a turn: most submissions ask for one.
+const quantum = 4
+
+// NewQueue makes a queue for so many accounts, and one lane for what has none.
+func NewQueue[T any](accounts int, bounds Bounds) *Queue[T] {
+	return &Queue[T]{bounds: bounds, lanes: make([]lane[T], accounts+1)}
+}
+
+func (q *Queue[T]) lane(account int) int {
+	if account < 0 || account >= len(q.lanes)-1 {
+		return len(q.lanes) - 1
+	}
+	return account
+}
+
+// Fits reports whether a lane has room: no lane may hold more than what is free, in
+// number and in bytes, so that one account's burst leaves the others half of the
+// queue, whoever comes first.
+func (q *Queue[T]) Fits(account, bytes int) bool {
+	l := &q.lanes[q.lane(account)]
+	return l.count < q.bounds.Count-q.count && l.bytes+bytes <= q.bounds.Bytes-q.bytes
+}
+
+// Push lets a submission wait. The caller has asked Fits, or hands back what he took:
+// that keeps its place by the time at which it came.
+func (q *Queue[T]) Push(account int, rank Rank, cost, bytes int, at Micros, item T) {
+	i := q.lane(account)
+	l := &q.lanes[i]
+	if l.count == 0 {
+		q.ring = append(q.ring, i)
+		l.deficit, l.fresh = 0, true
+	}
+	list := l.entries[rank]
+	place := len(list)
+	for place > 0 && list[place-1].at > at {
+		place--
+	}
+	l.entries[rank] = slices.Insert(list, place, entry[T]{item, cost, bytes, at})
+	l.costs[rank] += cost
+	l.count, l.cost, l.bytes = l.count+1, l.cost+cost, l.bytes+bytes
+	q.count, q.cost, q.bytes = q.count+1, q.cost+cost, q.bytes+bytes
+}
+
+func (l *lane[T]) head() *entry[T] {
+	for r := range l.entries {
+		if len(l.entries[r]) > 0 {
+			return &l.entries[r][0]
+		}
+	}
+	return nil
+}
+
+// Pop gives the next submission if it asks for at most room changes and suits; what
+// does not suit, or finds no room, ends the batch: ok is false. The first of a batch
+// may ask for more than there is room, or it would wait for ever.
+func (q *Queue[T]) Pop(room int, first bool, suits func(T) bool) (item T, ok bool) {
+	for len(q.ring) > 0 {
+		i := q.ring[0]
+		l := &q.lanes[i]
+		if l.fresh {
+			l.deficit += quantum
+			l.fresh = false
+		}
+		e := l.head()
+		if e.cost > l.deficit {
+			// Its turn is over; the rest of its due stays with it.
+			l.fresh = true
+			q.ring = append(q.ring[1:], i)
+			continue
+		}
+		if e.cost > room && !first || !suits(e.item) {
+			return item, false
+		}
+		item = e.item
+		l.deficit -= e.cost
+		q.drop(i, e)
+		return item, true
+	}
+	return item, false
+}
+
+// drop removes a lane's head.
+func (q *Queue[T]) drop(i int, e *entry[T]) {
+	l := &q.lanes[i]
+	cost, bytes := e.cost, e.bytes
+	for r := range l.entries {
+		if len(l.entries[r]) > 0 {
+			l.costs[r] -= cost
+			l.entries[r][0] = entry[T]{}
+			if l.entries[r] = l.entries[r][1:]; len(l.entries[r]) == 0 {
+				l.entries[r] = nil
+			}
+			break
+		}
+	}
+	l.count, l.cost, l.bytes = l.count-1, l.cost-cost, l.bytes-bytes
+	q.count, q.cost, q.bytes = q.count-1, q.cost-cost, q.bytes-bytes
+	if l.count == 0 {
+		q.ring = q.ring[1:]
+	}
+}
+
+// Head is the changes that the next submission asks for; 0 if none waits.
+func (q *Queue[T]) Head() int {
+	if len(q.ring) == 0 {
+		return 0
+	}
+	return q.lanes[q.ring[0]].head().cost
+}
+
+// Len is how many submissions wait; Cost is the changes that they ask for.
+func (q *Queue[T]) Len() int  { return q.count }
+func (q *Queue[T]) Cost() int { return q.cost }
+
+// Queued is the changes that one account waits for.
+func (q *Queue[T]) Queued(account int) int { return q.lanes[q.lane(account)].cost }
+
+// Oldest is since when the submission waits that came first; now if none does.
+func (q *Queue[T]) Oldest(now Micros) Micros {
+	for _, i := range q.ring {
+		for _, list := range q.lanes[i].entries {
+			if len(list) > 0 {
+				now = min(now, list[0].at)
+			}
+		}
+	}
+	return now
+}
+
+// Ahead is how many changes are served before a new submission of an account, which
+// asks for cost itself: what its lane holds, and as much of each other lane.
+func (q *Queue[T]) Ahead(account int, rank Rank, cost int) int {
+	i := q.lane(account)
+	mine := cost
+	for r := Rank(0); r <= rank; r++ {
+		mine += q.lanes[i].costs[r]
+	}
+	sum := mine - cost
+	for _, k := range q.ring {
+		if k != i {
+			sum += min(q.lanes[k].cost, mine+quantum)
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/admit/table.go
@@ -0,0 +1,303 @@
+package admit
+
+import (
+	"cmp"
+	"math"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/quota"
+)
+
+// Table is what all controllers agree on: made by the leader once a second, handed
+// to each node with the answer to its greeting. Two tables of the same term and
+// number are alike but for the part of the node that they were given to.
+type Table struct {
+	Term, Number uint64
+	Digest       uint32 // of the book
+	Valid        Micros // from when the node asked for it
+	Over         bool   // the machines are overloaded
+	Accounts     []Entry
+}
+
+// Entry is one account in a table. Rates are thousandths of a change a second.
+type Entry struct {
+	Rate  uint32 // of submissions, over all nodes
+	Part  uint32 // of it, for the node that holds the table
+	Slots uint32 // submissions are spread over this many tables; 1: taken as they come
+
+	Held, Waiting, Floor, Share uint32 // CPUs
+}
+
+// Newer reports whether the table replaces an older one.
+func (t *Table) Newer(than *Table) bool {
+	return than == nil || cmp.Or(cmp.Compare(t.Term, than.Term), cmp.Compare(t.Number, than.Number)) > 0
+}
+
+// Turn says how many tables on a job's submission is taken: 0 means now. The answer
+// follows from the table and the job's id alone, so all nodes give the same, and no
+// two users who were refused together need come back together. A number of slots is
+// a power of two: if it grows while somebody waits, what he was told is a step on the
+// way to his turn, which is never more than MaxSlots tables from his first attempt.
+func (t *Table) Turn(account int, job string) int {
+	if account < 0 || account >= len(t.Accounts) {
+		return 0
+	}
+	slots := t.Accounts[account].Slots
+	if slots <= 1 {
+		return 0
+	}
+	return int((Hash(job) - uint32(t.Number)) & (slots - 1))
+}
+
+// MaxSlots bounds what a user is told: the submissions of 16 s.
+const MaxSlots = 16
+
+// Hash is the place of a job's id among all ids.
+func Hash(job string) uint32 { return uint32(xxhash.Sum64String(job)) }
+
+// Arrivals is what a node saw of an account's submissions.
+type Arrivals struct {
+	Rate    uint32 // changes a second that they ask for, in thousandths, smoothed
+	Queued  uint32 // changes that wait at the node
+	Refused uint32 // changes refused of late, which will come back
+}
+
+// Notice is what a node tells its peers once a second.
+type Notice struct {
+	Digest   uint32
+	Accounts []Arrivals
+	Told     []uint32 // hashes of the jobs that it refused since the last notice
+}
+
+// Limits are the nodes' claims on the state service's changes for submissions.
+type Limits struct {
+	Base int64 // of each node, always; thousandths of a change a second
+	Pool int64 // that the leader hands out as parts
+}
+
+// Shares of the state service's changes a second. What the leader does not hand out,
+// and what the bases of the others leave, is its own: at least half.
+const (
+	baseMost  = 0.12 // of one node
+	basesMost = 0.45 // of all
+	poolShare = 0.15
+)
+
+// LimitsOf divides the changes a second that the state service takes among nodes.
+func LimitsOf(changes float64, nodes int) Limits {
+	base := min(baseMost, basesMost/float64(max(nodes, 1)))
+	return Limits{Base: int64(changes * base * milli), Pool: int64(changes * poolShare * milli)}
+}
+
+// valid is the life of a table, counted by its holder from when he asked and by the
+// leader from when it answered, with drift between the clocks.
+const (
+	valid      = 3 * clock.Second
+	validMost  = valid + valid/500
+	noticeLife = 5 * clock.Second
+)
+
+// Giver makes a leader's tables and keeps account of the parts that are out.
+type Giver struct {
+	book   *Book
+	self   string
+	term   uint64
+	limits Limits
+	from   Micros // before, parts of an earlier leader may be in use
+	number uint64
+	shared []Entry // of the current number, without parts
+	nodes  map[string]*holder
+	over   bool
+}
+
+// holder is a node that parts are given to.
+type holder struct {
+	notice *Notice
+	heard  Micros
+	part   []uint32 // under the current number
+	given  uint64   // the number under which it was worked out
+	out    []grant  // that may be in use
+}
+
+type grant struct {
+	part []uint32
+	end  Micros
+}
+
+// NewGiver begins a term: parts of earlier terms are waited for.
+func NewGiver(book *Book, self string, term uint64, now Micros, limits Limits) *Giver {
+	return &Giver{book: book, self: self, term: term, limits: limits, from: now + validMost, nodes: map[string]*holder{}}
+}
+
+// SetLimits follows the state service's limits. A lower one holds as parts end.
+func (g *Giver) SetLimits(l Limits) { g.limits = l }
+
+// Hear takes in what a node saw. What was made from other settings is ignored.
+func (g *Giver) Hear(node string, n *Notice, now Micros) {
+	if n == nil || n.Digest != g.book.Digest || len(n.Accounts) != g.book.Len() {
+		return
+	}
+	h := g.nodes[node]
+	if h == nil {
+		h = &holder{}
+		g.nodes[node] = h
+	}
+	h.notice, h.heard = n, now
+}
+
+// Next makes the table of the next second. demands and dues, of the machines, are
+// for those who look at it; dues may be nil.
+func (g *Giver) Next(now Micros, over bool, demands []Demand, dues []Due) {
+	g.number++
+	g.over = over
+	n := g.book.Len()
+	g.shared = make([]Entry, n)
+	asks := make([]quota.Ask, n)
+	backlog := make([]int64, n)
+	active := int64(0)
+	for _, h := range g.nodes {
+		if now-h.heard > noticeLife {
+			continue
+		}
+		for a, x := range h.notice.Accounts {
+			asks[a].Want += want(x)
+			backlog[a] += int64(x.Queued) + int64(x.Refused)
+		}
+	}
+	for a := range asks {
+		if asks[a].Want > 0 {
+			active++
+		}
+	}
+	// Together the nodes take their bases too; the leader's own rate is for it to see.
+	total := g.limits.Pool + g.limits.Base*int64(max(len(g.nodes), 1))
+	for a := range asks {
+		asks[a].Floor, asks[a].Weight = total/(2*max(active, 1)), 1
+	}
+	for a, rate := range quota.Divide(total, asks) {
+		e := &g.shared[a]
+		e.Rate, e.Slots = clip(rate), slots(backlog[a], max(rate, total/max(active, 1)))
+		if a < len(demands) {
+			e.Held, e.Waiting = clip(int64(demands[a].Held)), clip(int64(demands[a].Waiting))
+		}
+		if a < len(dues) {
+			e.Floor, e.Share = clip(int64(dues[a].Floor)), clip(int64(dues[a].Share))
+		}
+	}
+}
+
+// want is what a node could use for an account: what arrives and, within a second,
+// what waits.
+func want(x Arrivals) int64 { return int64(x.Rate) + int64(x.Queued)*milli }
+
+// slots is over how many seconds submissions are to be spread: those that a backlog
+// takes, as a power of two.
+func slots(backlog, rate int64) uint32 {
+	seconds := uint64(backlog * milli / max(rate, 1))
+	if seconds <= 1 {
+		return 1
+	}
+	return min(uint32(1)<<min(bits.Len64(seconds-1), 31), MaxSlots)
+}
+
+func clip(x int64) uint32 { return uint32(min(max(x, 0), math.MaxUint32)) }
+
+// Give answers a node that asks. Asked again under the same number it gets the same.
+// The parts in use never add up to more than an account's rate, nor in all to more
+// than the pool: a part that was given counts until it has surely ended, also where a
+// smaller one was given since, which may be lost on the way.
+func (g *Giver) Give(node string, now Micros) *Table {
+	if g.number == 0 {
+		return nil
+	}
+	t := &Table{Term: g.term, Number: g.number, Digest: g.book.Digest, Valid: valid, Over: g.over,
+		Accounts: slices.Clone(g.shared)}
+	h := g.nodes[node]
+	if h == nil || node == g.self || now < g.from {
+		return t
+	}
+	if h.given != g.number {
+		h.part, h.given = g.part(node, now), g.number
+	}
+	h.out = append(h.out, grant{h.part, now + validMost})
+	for a := range t.Accounts {
+		t.Accounts[a].Part = h.part[a]
+	}
+	return t
+}
+
+// part works out a node's part of each account: what it could use of the rate, as far
+// as others' parts leave it.
+func (g *Giver) part(node string, now Micros) []uint32 {
+	out := make([]uint32, g.book.Len())
+	inUse := int64(0) // of the pool, by others
+	for name, h := range g.nodes {
+		if name != node {
+			inUse += h.most(now)
+		}
+	}
+	free := g.limits.Pool - inUse
+	for a := range out {
+		wants := make([]quota.Ask, 0, len(g.nodes))
+		at, others := -1, int64(0)
+		for name, h := range g.nodes {
+			if now-h.heard <= noticeLife && name != g.self {
+				if name == node {
+					at = len(wants)
+				}
+				wants = append(wants, quota.Ask{Want: want(h.notice.Accounts[a]), Weight: 1})
+			}
+			if name != node {
+				others += int64(h.inUse(a, now))
+			}
+		}
+		if at < 0 {
+			continue
+		}
+		fair := quota.Divide(int64(g.shared[a].Rate), wants)[at]
+		out[a] = clip(min(fair, int64(g.shared[a].Rate)-others, free))
+		free -= int64(out[a])
+	}
+	return out
+}
+
+// inUse is the most of an account that a node may be using.
+func (h *holder) inUse(account int, now Micros) uint32 {
+	most := uint32(0)
+	for _, x := range h.out {
+		if now < x.end {
+			most = max(most, x.part[account])
+		}
+	}
+	return most
+}
+
+// most is the most of the pool that a node may be using.
+func (h *holder) most(now Micros) int64 {
+	h.out = slices.DeleteFunc(h.out, func(x grant) bool { return now >= x.end })
+	most := int64(0)
+	for _, x := range h.out {
+		sum := int64(0)
+		for _, p := range x.part {
+			sum += int64(p)
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Out is what of the pool others may be using: the leader does without it.
+func (g *Giver) Out(now Micros) int64 {
+	if now < g.from {
+		return g.limits.Pool
+	}
+	out := int64(0)
+	for _, h := range g.nodes {
+		out += h.most(now)
+	}
+	return out
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 
 	"lilacthread/internal/clock"
 )
@@ -220,6 +221,17 @@
 	return nil
 }
 
+// Classes lists the classes of jobs that the objectives name.
+func (c *Config) Classes() []string {
+	var out []string
+	for _, o := range c.Params.Objectives {
+		if o.Class != "" && !slices.Contains(out, o.Class) {
+			out = append(out, o.Class)
+		}
+	}
+	return out
+}
+
 // ReportEvery is the workers' report interval.
 func (c *Config) ReportEvery() clock.Micros { return clock.FromSeconds(c.Params.Workers.Report) }
 
--- /dev/null
+++ b/internal/controller/admission.go
@@ -0,0 +1,382 @@
+package controller
+
+import (
+	"log/slog"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lilacthread/internal/admit"
+	"lilacthread/internal/clock"
+	"lilacthread/internal/config"
+	"lilacthread/internal/fleet"
+	"lilacthread/internal/peer"
+	"lilacthread/internal/sched"
+	"lilacthread/wire"
+	"lilacthread/wire/fb"
+)
+
+// book numbers the accounts that the settings give.
+func book(cfg *config.Config) *admit.Book {
+	var teams []string
+	for _, t := range cfg.Params.Teams {
+		teams = append(teams, t.Name)
+	}
+	var aims []admit.Aim
+	for _, o := range cfg.Params.Objectives {
+		aims = append(aims, admit.Aim{Class: o.Class, Within: clock.FromSeconds(o.Within)})
+	}
+	return admit.NewBook(teams, aims)
+}
+
+func admitTeams(cfg *config.Config) []admit.Team {
+	var teams []admit.Team
+	for _, t := range cfg.Params.Teams {
+		teams = append(teams, admit.Team{Name: t.Name, Guarantee: t.CPUs, Limit: t.CPUsMax})
+	}
+	return teams
+}
+
+// shareKind is what a peer takes of the state service's changes for submissions.
+type shareKind int
+
+const (
+	unheard   shareKind = iota // never greeted: counted as the next
+	admitting                  // its base, and its part of the table
+	fixed                      // the share of a node without admission
+)
+
+// submitLimits divides the changes that the state service takes.
+func (c *Core) submitLimits() admit.Limits {
+	return admit.LimitsOf(c.limits().WriteRPS, len(c.cfg.Peers)+1)
+}
+
+// writeRate is how many changes a second this node may make now. A leader takes what
+// the bases of the others and the parts that are out leave; the sum over all nodes
+// stays within what the state service takes, whoever leads and whoever is cut off.
+func (c *Core) writeRate(now Micros) float64 {
+	all := c.limits().WriteRPS
+	if !c.pol.Admission.On {
+		return all * c.share()
+	}
+	if c.lead == nil || c.giver == nil || !c.lead.Authority() {
+		return c.purse.Rate(now)
+	}
+	limits := c.submitLimits()
+	rate := all - float64(c.giver.Out(now))/1000
+	for _, p := range c.peers {
+		if p.admits == fixed {
+			rate -= all * followerShare
+		} else {
+			rate -= float64(limits.Base) / 1000
+		}
+	}
+	return max(rate, all*0.3)
+}
+
+// electAdmission begins a term. What the last table said of the machines holds on: the
+// cloud's refusals, by which a leader sees an overload begin, are not handed down.
+func (c *Core) electAdmission(now Micros) {
+	c.giver = admit.NewGiver(c.book, c.cfg.Name, c.term, now, c.submitLimits())
+	c.shares = admit.NewShares(c.book, admitTeams(c.cfg), c.pol.Admission)
+	if t := c.purse.Table(now); t != nil {
+		c.shares.Over = t.Over
+	}
+	c.waits.served = make([]served, c.book.Len())
+}
+
+// tendAdmission runs once a second: it gives the notice for the peers and, on the
+// leader, makes the next table. Without admission there is neither.
+func (c *Core) tendAdmission(now Micros) *admit.Notice {
+	if !c.pol.Admission.On {
+		return nil
+	}
+	c.purse.SetLimits(c.submitLimits())
+	notice := c.purse.Notice(c.intake.queue.Queued, now)
+	if c.Serving() && c.giver != nil {
+		c.giver.SetLimits(c.submitLimits())
+		c.giver.Hear(c.cfg.Name, notice, now)
+		dues := make([]admit.Due, 0, len(c.dues))
+		for _, d := range c.dues {
+			dues = append(dues, admit.Due{Floor: d.Floor, Share: d.Share})
+		}
+		c.giver.Next(now, c.shares.Over, c.demands, dues)
+		c.purse.Put(c.giver.Give(c.cfg.Name, now), now)
+	}
+	c.setWriteShare()
+	return notice
+}
+
+// hearNotice takes a peer's notice in and gives it its table, if this node leads.
+func (c *Core) hearNotice(m *peer.Msg) *admit.Table {
+	now := c.env.Now()
+	if p := c.peers[m.Node]; p != nil {
+		p.admits = fixed
+		if m.Notice != nil {
+			p.admits = admitting
+		}
+	}
+	if m.Notice == nil || !c.pol.Admission.On {
+		return nil
+	}
+	c.purse.Told(m.Notice, now)
+	if !c.Serving() || c.giver == nil {
+		return nil
+	}
+	c.giver.Hear(m.Node, m.Notice, now)
+	t := c.giver.Give(m.Node, now)
+	c.setWriteShare()
+	return t
+}
+
+// putTable takes a table over that came with the answer to a greeting.
+func (c *Core) putTable(t *admit.Table, asked Micros) {
+	if c.pol.Admission.On && !c.Serving() && c.purse.Put(t, asked) {
+		c.setWriteShare()
+	}
+}
+
+// rank is a submission's place among those of its account.
+func (c *Core) rank(job *wire.Job) admit.Rank {
+	switch {
+	case c.purse.Returns(job.ID, c.env.Now()):
+		return admit.Returning
+	case len(job.Awaits) > 0:
+		return admit.Chained
+	}
+	return admit.Newcomer
+}
+
+// mustWait says in how many seconds a submission should come again; 0 if it is taken
+// now. First the table decides, alike on all nodes; a later stage of a pipeline that
+// was accepted is not made to wait by it. Then this node's own queue: what would not
+// be answered soon is refused now.
+func (c *Core) mustWait(job *wire.Job, account int, now Micros) int {
+	q := c.intake.queue
+	if c.pol.Admission.On {
+		if t := c.purse.Table(now); t != nil && len(job.Awaits) == 0 {
+			if turns := t.Turn(account, job.ID); turns > 0 {
+				return turns
+			}
+		}
+		cost := 1 + len(job.Awaits)/64
+		ahead := float64(q.Ahead(account, c.rank(job), cost)+cost) - c.writes.Room(stdTime(now), admit.Submits)
+		if wait := clock.FromSeconds(ahead / max(c.submitRate(), 0.1)); q.Len() > 0 && wait > c.pol.Admission.Answer {
+			return admit.Spread(wait, job.ID)
+		}
+	}
+	if !q.Fits(account, wire.MaxBody/8) {
+		return admit.Spread(clock.FromSeconds(float64(q.Cost())/max(c.submitRate(), 0.1)), job.ID)
+	}
+	return 0
+}
+
+// submitRate is the changes a second that submissions surely get.
+func (c *Core) submitRate() float64 {
+	if c.Serving() {
+		return c.writes.Rate() * admit.Floor(admit.Submits)
+	}
+	return c.writes.Rate()
+}
+
+// turnAway refuses a submission, unless the job is known: what was accepted is never
+// refused. Only memory is asked, here or at the leader: under overload the state
+// service's requests are needed for what it can do about it.
+func (c *Core) turnAway(job *wire.Job, account, wait int, reply func(Answer)) {
+	refuse := func() {
+		c.purse.Refused(account, 1, job.ID, c.env.Now())
+		reply(Answer{Code: 429, RetryAfter: wait})
+	}
+	if a, ok := c.remembered(job.ID); ok {
+		c.purse.Took(account, true)
+		reply(a)
+		return
+	}
+	leader := c.lead.Leader()
+	if p := c.peers[leader]; p == nil || c.env.Now()-p.at > 2500*clock.Millisecond {
+		refuse()
+		return
+	}
+	m := c.self(fb.KindStatus)
+	m.Job, m.InMemory = job.ID, true
+	c.env.Ask(leader, m, 150*clock.Millisecond, func(r *peer.Msg) {
+		if r == nil || r.Code != 200 {
+			refuse()
+			return
+		}
+		c.purse.Took(account, true)
+		reply(answerOf(r))
+	})
+}
+
+// remembered answers for a job from the leader's memory alone.
+func (c *Core) remembered(id string) (Answer, bool) {
+	if c.Serving() {
+		if j := c.jobs[id]; j != nil {
+			return Answer{Code: 200, Status: statusOf(j)}, true
+		}
+		if f, ok := c.finals[id]; ok {
+			return Answer{Code: 200, Status: f.JobStatus}, true
+		}
+	}
+	return Answer{Code: 404}, false
+}
+
+// took notes a submission that was answered.
+func (c *Core) took(s *submission, known bool) {
+	c.purse.Took(s.account, known)
+	c.waits.note(&c.waits.accept, s.account, c.book.Len(), c.env.Now()-s.since)
+}
+
+// waits are what users and jobs waited, by account.
+type waits struct {
+	accept []*hdrhistogram.Histogram // from a submission to its answer, at this node
+	start  []*hdrhistogram.Histogram // of the leader: until a job's first task ran
+	served []served                  // of the leader, in its term
+}
+
+// served counts jobs that are over, services aside.
+type served struct{ jobs, inTime uint64 }
+
+// note enters a wait, in milliseconds.
+func (w *waits) note(list *[]*hdrhistogram.Histogram, account, accounts int, wait Micros) {
+	if account < 0 {
+		return
+	}
+	if *list == nil {
+		*list = make([]*hdrhistogram.Histogram, accounts)
+	}
+	h := (*list)[account]
+	if h == nil {
+		h = hdrhistogram.New(1, 3_600_000, 2)
+		(*list)[account] = h
+	}
+	h.RecordValue(min(max(int64(wait/clock.Millisecond), 1), 3_600_000)) // within the bounds: no error
+}
+
+// noteOver counts a job that is over: in time means within the widest aim of its class.
+func (c *Core) noteOver(j *sched.Job) {
+	a := c.account(j.Spec)
+	if a < 0 || j.Service() || j.Cancelled || c.waits.served == nil {
+		return
+	}
+	s := &c.waits.served[a]
+	s.jobs++
+	if widest := c.book.Widest[a]; widest == 0 || j.Over-j.Ready <= widest {
+		s.inTime++
+	}
+	if j.Began > 0 {
+		c.waits.note(&c.waits.start, a, c.book.Len(), j.Began-j.Ready)
+	}
+}
+
+// Admission tells how submissions and machines are shared, as this node sees it.
+func (c *Core) Admission() *wire.Admission {
+	now := c.env.Now()
+	out := &wire.Admission{Node: c.cfg.Name, On: c.pol.Admission.On, Leads: c.Serving(), Rate: c.writes.Rate(),
+		Waiting: c.intake.queue.Len(), Oldest: (now - c.intake.queue.Oldest(now)).Seconds()}
+	t := c.purse.Table(now)
+	if t != nil {
+		out.Term, out.Number, out.Over = t.Term, t.Number, t.Over
+	}
+	for i, account := range c.book.Accounts {
+		n := c.purse.Counts(i)
+		a := wire.AdmissionAccount{Team: account.Team, Class: account.Class, Queued: c.intake.queue.Queued(i),
+			Taken: n.Taken, Refused: n.Refused, Known: n.Known}
+		if t != nil {
+			e := t.Accounts[i]
+			a.Held, a.Waiting, a.Floor, a.Share = e.Held, e.Waiting, e.Floor, e.Share
+			a.Rate, a.Part, a.Slots = float64(e.Rate)/1000, float64(e.Part)/1000, e.Slots
+		}
+		if w := c.waits.accept; w != nil && w[i] != nil {
+			a.Accept50, a.Accept99 = w[i].ValueAtQuantile(50), w[i].ValueAtQuantile(99)
+		}
+		if w := c.waits.start; w != nil && w[i] != nil {
+			a.Start50, a.Start99 = w[i].ValueAtQuantile(50), w[i].ValueAtQuantile(99)
+		}
+		if s := c.waits.served; out.Leads && s != nil {
+			a.Over, a.InTime = s[i].jobs, s[i].inTime
+		}
+		out.Accounts = append(out.Accounts, a)
+	}
+	return out
+}
+
+// account numbers the account of a job.
+func (c *Core) account(spec *wire.Job) int { return c.book.Of(spec.Team, spec.Class) }
+
+// judgeShares works out what each account is due in the pass that begins, from all
+// that is unfinished; nil unless there is more to do than the machines can take.
+func (c *Core) judgeShares(now Micros) func(*sched.Job) *sched.Due {
+	if !c.pol.Admission.On {
+		return nil
+	}
+	if c.demands = c.demands[:0]; cap(c.demands) == 0 {
+		c.demands = make([]admit.Demand, 0, c.book.Len())
+	}
+	c.demands = c.demands[:c.book.Len()]
+	clear(c.demands)
+	for _, j := range c.jobs {
+		a := c.account(j.Spec)
+		if a < 0 || j.Service() || j.Priority >= wire.PriorityProduction || j.Placed+len(j.Queue) == 0 {
+			continue
+		}
+		d := &c.demands[a]
+		held, waiting := float64(j.Placed)*j.Spec.CPUs, float64(len(j.Queue))*j.Spec.CPUs
+		if !j.Active() {
+			waiting = 0
+		}
+		d.Held += held
+		d.Waiting += waiting
+		d.Work += (held/2 + waiting) * j.Estimate.Seconds()
+		if j.InTime(now) {
+			d.Fresh += (held/2 + waiting) * j.Estimate.Seconds()
+		}
+	}
+	was := c.shares.Over
+	dues := c.shares.Judge(now, c.batchRoom(), c.cloudHas(now), c.demands)
+	if was != c.shares.Over {
+		slog.Info("admission mode", "overload", c.shares.Over, "for_s", (now - c.electedAt).Seconds())
+	}
+	if dues == nil {
+		c.dues = nil
+		return nil
+	}
+	c.dues = make([]sched.Due, len(dues)+1) // the last for what has no account
+	for i, d := range dues {
+		c.dues[i] = sched.Due{Floor: d.Floor, Share: d.Share, Held: c.demands[i].Held}
+	}
+	return func(j *sched.Job) *sched.Due {
+		if a := c.account(j.Spec); a >= 0 {
+			return &c.dues[a]
+		}
+		return &c.dues[len(dues)]
+	}
+}
+
+// batchRoom is the CPUs that are up or on their way for work that is not production.
+func (c *Core) batchRoom() float64 {
+	sum := 0.0
+	for _, m := range c.order {
+		if !m.Releasing && !m.Failed && !m.Draining && m.Notice == 0 && (m.Up || !m.Inherited()) {
+			sum += m.Type.CPUs - m.Production()
+		}
+	}
+	return sum
+}
+
+// cloudHas reports whether the cloud may have machines yet: it has refused less than
+// half of what it lists of late.
+func (c *Core) cloudHas(now Micros) bool {
+	kinds, refused := 0, 0
+	for _, t := range c.catalog {
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				kinds++
+				if now < c.refused[fleet.Kind{Type: t.Name, Zone: zone, Spot: spot}] {
+					refused++
+				}
+			}
+		}
+	}
+	return 2*refused < kinds
+}
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
 	"lilacthread/internal/store"
 	"lilacthread/wire"
@@ -54,7 +55,7 @@
 // at all while the budget is as good as untouched.
 func (w *committer) wait() Micros {
 	c := w.core
-	if left := c.writes.TokensAt(stdTime(c.env.Now())); left < 0.75*float64(c.writes.Burst()) {
+	if left := c.writes.Left(stdTime(c.env.Now())); left < 0.75*float64(c.writes.Burst()) {
 		return soonAfter
 	}
 	return 0
@@ -129,6 +130,7 @@
 	putOff  map[*record]bool // not to be rendered yet
 	records []*record
 	changes []wire.Change
+	spent   [atOnce + 1]int // changes by class
 	size    int
 }
 
@@ -162,15 +164,21 @@
 	if w.head(&w.queue, atOnce) == nil && !due(w.head(&w.soon, merged), w.wait()) && !due(w.head(&w.lazy, whenIdle), lazyAfter) {
 		return
 	}
-	room := min(c.limits().TxnOps>>min(w.squeeze, 16), int(c.writes.TokensAt(stdTime(now))))
-	if room < 1 && (w.squeeze == 0 || c.writes.TokensAt(stdTime(now)) < 1) {
+	urgent, at := w.head(&w.queue, atOnce) != nil, stdTime(now)
+	c.writes.Want(admit.Urgent, urgent)
+	budget := c.writes.Room(at, admit.Urgent)
+	if !urgent {
+		budget = max(c.writes.Room(at, admit.Ends), c.writes.Room(at, admit.Idle))
+	}
+	room := min(c.limits().TxnOps>>min(w.squeeze, 16), int(budget))
+	if room < 1 && (w.squeeze == 0 || budget < 1) {
 		w.pauseFor(50 * clock.Millisecond)
 		return
 	}
 	b := &batch{putOff: map[*record]bool{}}
 	full := w.fill(b, &w.queue, atOnce, max(room, 1), func(*record) bool { return true }) ||
-		w.fill(b, &w.soon, merged, w.spare(room, len(b.changes), 4), func(r *record) bool { return due(r, w.wait()/2) }) ||
-		w.fill(b, &w.lazy, whenIdle, w.spare(room, len(b.changes), 2), func(r *record) bool { return due(r, lazyAfter/2) })
+		w.fill(b, &w.soon, merged, w.spare(admit.Ends, room, len(b.changes), 4), func(r *record) bool { return due(r, w.wait()/2) }) ||
+		w.fill(b, &w.lazy, whenIdle, w.spare(admit.Idle, room, len(b.changes), 2), func(r *record) bool { return due(r, lazyAfter/2) })
 	if len(b.records) == 0 {
 		if full || len(b.putOff) > 0 { // the budget has no room for the first record, or all have to wait
 			w.pauseFor(50 * clock.Millisecond)
@@ -178,16 +186,24 @@
 		return
 	}
 	w.busy = true
-	c.writes.AllowN(stdTime(now), len(b.changes))
+	for class, n := range b.spent {
+		c.writes.Spend(at, useOf[class], n)
+	}
+	c.writes.Want(admit.Urgent, w.head(&w.queue, atOnce) != nil)
 	w.send(c.term, b)
 }
 
+// useOf tells what the records of a class are spent on.
+var useOf = [...]admit.Use{whenIdle: admit.Idle, merged: admit.Ends, atOnce: admit.Urgent}
+
 // spare is how many changes a transaction may hold once records join it that are
-// not urgent: they leave a part of a second's budget to those that are.
-func (w *committer) spare(room, used, part int) int {
+// not urgent: they leave a part of a second's budget to those that are, but for
+// their own floor.
+func (w *committer) spare(use admit.Use, room, used, part int) int {
 	c := w.core
-	left := int(c.writes.TokensAt(stdTime(c.env.Now()))) - c.writes.Burst()/part
-	return min(room, max(left, used))
+	at := stdTime(c.env.Now())
+	left := int(c.writes.Left(at)) - c.writes.Burst()/part
+	return min(room, max(left, used+int(c.writes.Own(at, use)), used))
 }
 
 // fill moves records of one list into the batch; it reports whether the next one
@@ -222,13 +238,14 @@
 		*list = (*list)[1:]
 		delete(w.keys, r.key)
 		b.records, b.changes, b.size = append(b.records, r), append(b.changes, changes...), b.size+size
+		b.spent[class] += len(changes)
 	}
 }
 
 // enough reports whether the budget covers n changes, as far as it ever can.
 func (w *committer) enough(n int) bool {
 	c := w.core
-	return c.writes.TokensAt(stdTime(c.env.Now())) >= float64(min(n, c.writes.Burst()))
+	return c.writes.Left(stdTime(c.env.Now())) >= float64(min(n, c.writes.Burst()))
 }
 
 func (w *committer) pauseFor(d Micros) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/time/rate"
 
+	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
 	"lilacthread/internal/config"
 	"lilacthread/internal/fleet"
@@ -72,7 +73,7 @@
 	cfg     *config.Config
 	pol     *policy.Policy
 	lead    *lead.Elector
-	writes  *rate.Limiter // puts and deletes
+	writes  *admit.Budget // puts and deletes
 	calls   *rate.Limiter // requests to the cloud
 	lookups *rate.Limiter // reads of single jobs for users
 	needs   *rate.Limiter // reads of jobs that others await
@@ -87,6 +88,9 @@
 	isReady   bool
 	catalog   []wire.MachineType
 	intake    intake
+	book      *admit.Book
+	purse     *admit.Purse
+	waits     waits
 
 	// Of the leader.
 	term        uint64
@@ -119,6 +123,10 @@
 	moved       Micros  // up to when moves of replicas are accounted for
 	moves       float64 // replicas that may be moved now
 	spot        spotLosses
+	giver       *admit.Giver
+	shares      *admit.Shares
+	demands     []admit.Demand // of the latest pass, by account
+	dues        []sched.Due    // nil while not overloaded
 }
 
 type peerInfo struct {
@@ -126,6 +134,7 @@
 	stateOK bool
 	reports uint32
 	term    uint64
+	admits  shareKind // how much of the state service's changes it takes for submissions
 }
 
 // arrival smooths what a class of jobs asks for: see noteArrival.
@@ -148,9 +157,11 @@
 func NewAt(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64, speaks int) *Core {
 	c := &Core{env: env, cfg: cfg, pol: pol, accepted: map[string]bool{}, levelsRead: -clock.Forever,
 		up:    upgrade{speaks: speaks, level: LevelPlaces, peers: map[string]bool{}},
-		peers: map[string]*peerInfo{}, strays: map[string]Micros{}}
-	write := cfg.Params.State.WriteRPS * c.share()
-	c.writes = rate.NewLimiter(rate.Limit(write), max(int(write), 4))
+		peers: map[string]*peerInfo{}, strays: map[string]Micros{}, book: book(cfg)}
+	c.purse = admit.NewPurse(c.book, c.submitLimits())
+	c.intake.queue = admit.NewQueue[*submission](c.book.Len(),
+		admit.Bounds{Count: maxWaiting, Bytes: int(cfg.Params.Resources.MemoryMB * (1 << 20) / intakeMemory)})
+	c.writes = admit.NewBudget(c.writeRate(0))
 	c.calls = rate.NewLimiter(rate.Limit(cfg.Params.Cloud.RPS*0.9), max(int(cfg.Params.Cloud.RPS), 1))
 	look := cfg.Params.State.Lowest().RPS * lookupShare
 	c.lookups = rate.NewLimiter(rate.Limit(cfg.Params.State.RPS*lookupShare), int(look)+1)
@@ -167,8 +178,8 @@
 	return c
 }
 
-// Shares of the state service's write budget: one leader, the rest followers
-// that only create jobs.
+// Shares of the state service's write budget without admission: one leader, the rest
+// followers that only create jobs.
 const (
 	leaderShare   = 0.7
 	followerShare = 0.12
@@ -241,10 +252,14 @@
 			}
 		})
 	}
+	notice := c.tendAdmission(now)
 	for name := range c.peers {
-		c.env.Ask(name, c.self(fb.KindHello), clock.Second, func(m *peer.Msg) {
+		greeting := c.self(fb.KindHello)
+		greeting.Notice = notice
+		c.env.Ask(name, greeting, clock.Second, func(m *peer.Msg) {
 			if m != nil {
 				c.learn(m)
+				c.putTable(m.Table, now)
 			}
 		})
 	}
@@ -287,14 +302,21 @@
 	c.learn(m)
 	answer := func(a Answer) {
 		r := c.self(fb.KindAnswer)
-		r.Code, r.Job = a.Code, a.Status.ID
+		r.Code, r.Job, r.RetryAfter = a.Code, a.Status.ID, a.RetryAfter
 		r.Phase, r.Done, r.Running = a.Status.Phase, a.Status.Done, a.Status.Running
 		reply(r)
 	}
 	switch m.Kind {
 	case fb.KindHello:
-		answer(Answer{Code: 200})
+		r := c.self(fb.KindAnswer)
+		r.Code, r.Table = 200, c.hearNotice(m)
+		reply(r)
 	case fb.KindStatus:
+		if m.InMemory {
+			a, _ := c.remembered(m.Job)
+			answer(a)
+			return
+		}
 		if !c.Serving() {
 			answer(unavailable)
 			return
@@ -341,6 +363,7 @@
 	c.unplaced = nil
 	c.ordering, c.toOrder = 0, nil
 	c.up.raising = false
+	c.electAdmission(now)
 	c.setWriteShare()
 	c.load(term)
 }
@@ -349,6 +372,7 @@
 	c.loaded = false
 	c.commit.abandon()
 	c.jobs, c.machines, c.order, c.finals = nil, nil, nil, nil
+	c.giver, c.dues = nil, nil
 	c.setWriteShare()
 }
 
@@ -366,9 +390,8 @@
 }
 
 func (c *Core) setWriteShare() {
-	at, limit := stdTime(c.env.Now()), c.limits().WriteRPS*c.share()
-	c.writes.SetLimitAt(at, rate.Limit(limit))
-	c.writes.SetBurstAt(at, max(int(limit), 4))
+	now := c.env.Now()
+	c.writes.Set(stdTime(now), c.writeRate(now))
 }
 
 // during makes a callback that runs only while the same term is led.
@@ -483,7 +506,7 @@
 	out := sched.Plan(&sched.Input{
 		Now: now, Fresh: c.fresh(), Jobs: pending, Machines: c.order, Teams: c.teams,
 		Rates: c.rates, Attempt: c.attempt, Patience: c.pol.Patience,
-		MaxTasks: c.maxTasks(), SpotLoss: c.spot.rate(),
+		MaxTasks: c.maxTasks(), SpotLoss: c.spot.rate(), Due: c.judgeShares(now),
 	})
 	for _, pl := range out.Launch {
 		if c.up.level >= LevelTasks {
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
+	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
 	"lilacthread/internal/config"
 	"lilacthread/internal/sched"
@@ -68,9 +69,11 @@
 		return
 	}
 	again := func() { c.env.After(clock.Second, c.announce) }
-	if !c.writes.AllowN(stdTime(c.env.Now()), 1) {
+	if at := stdTime(c.env.Now()); c.writes.Room(at, admit.Idle) < 1 {
 		again()
 		return
+	} else {
+		c.writes.Spend(at, admit.Idle, 1)
 	}
 	c.env.State().Txn(&wire.Txn{Then: []wire.Change{
 		{Put: nodePrefix + c.cfg.Name, Value: wire.Encode(&levelRecord{c.up.speaks})},
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -457,10 +457,16 @@
 
 // setReady notes from when the job's aims are counted.
 func (c *Core) setReady(j *sched.Job, at Micros) {
-	j.Blocked, j.Ready, j.Targets = 0, at, nil
+	j.Blocked, j.Ready, j.Targets, j.StartBy = 0, at, nil, 0
 	for _, o := range c.cfg.Params.Objectives {
-		if o.Kind == "finished" && o.Class == j.Spec.Class {
-			j.Targets = append(j.Targets, j.Ready+clock.FromSeconds(o.Within))
+		if o.Class != j.Spec.Class {
+			continue
+		}
+		switch by := j.Ready + clock.FromSeconds(o.Within); o.Kind {
+		case "finished":
+			j.Targets = append(j.Targets, by)
+		case "wait":
+			j.StartBy = max(j.StartBy, by)
 		}
 	}
 	slices.Sort(j.Targets)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
 	"lilacthread/internal/peer"
 	"lilacthread/internal/sched"
@@ -19,18 +20,26 @@
 
 // intake gathers submissions, so that one transaction creates several jobs.
 type intake struct {
-	waiting []*submission
-	busy    bool
+	queue *admit.Queue[*submission]
+	busy  bool
+	takes Micros // how long a transaction of submissions takes, smoothed
+	sent  Micros // when the one under way was sent
 }
 
 type submission struct {
 	job     *wire.Job
+	account int
+	since   Micros
 	changes []wire.Change // its record first
 	reply   func(Answer)
 }
 
-// maxWaiting bounds the submissions that wait for the state service.
-const maxWaiting = 200
+// Bounds of what waits for the state service: submissions, and the part of the
+// process's memory that their records may take.
+const (
+	maxWaiting   = 400
+	intakeMemory = 50
+)
 
 // Submit takes a job from a user.
 func (c *Core) Submit(job *wire.Job, reply func(Answer)) {
@@ -77,7 +86,7 @@
 	}
 	a := Answer{Code: m.Code, Status: wire.JobStatus{ID: m.Job, Phase: m.Phase, Done: m.Done, Running: m.Running}}
 	if m.Code >= 429 {
-		a.RetryAfter = 1
+		a.RetryAfter = max(m.RetryAfter, 1)
 	}
 	return a
 }
@@ -112,10 +121,11 @@
 	})
 }
 
-// enqueue lets a submission wait for the next transaction.
+// enqueue lets a submission wait for the next transaction, or says when to come back.
 func (c *Core) enqueue(job *wire.Job, reply func(Answer)) {
-	if len(c.intake.waiting) >= maxWaiting {
-		reply(Answer{Code: 429, RetryAfter: 2})
+	now, account := c.env.Now(), c.account(job)
+	if wait := c.mustWait(job, account, now); wait > 0 {
+		c.turnAway(job, account, wait, reply)
 		return
 	}
 	changes, why := c.jobChanges(job)
@@ -123,10 +133,20 @@
 		reply(Answer{Code: 400, Status: wire.JobStatus{ID: why}})
 		return
 	}
-	c.intake.waiting = append(c.intake.waiting, &submission{job, changes, reply})
+	c.purse.Saw(account, len(changes), now)
+	c.await(&submission{job, account, now, changes, reply})
 	c.takeIn()
 }
 
+// await enters a submission into the queue.
+func (c *Core) await(s *submission) {
+	bytes := 0
+	for _, ch := range s.changes {
+		bytes += len(ch.Put) + len(ch.Value)
+	}
+	c.intake.queue.Push(s.account, c.rank(s.job), len(s.changes), bytes, s.since, s)
+}
+
 func awaitsKey(job string, part int) string {
 	return fmt.Sprintf("%s%s%s%04d", jobPrefix, job, awaitsTail, part)
 }
@@ -207,12 +227,16 @@
 // takeIn creates the waiting jobs in one transaction. A job that exists
 // already, under way or over, makes its guard fail and gets its state instead.
 func (c *Core) takeIn() {
-	if c.intake.busy || len(c.intake.waiting) == 0 {
+	c.writes.Want(admit.Submits, c.intake.queue.Len() > 0)
+	if c.intake.busy || c.intake.queue.Len() == 0 {
 		return
 	}
 	now := c.env.Now()
-	tokens := int(c.writes.TokensAt(stdTime(now)))
-	if tokens < min(len(c.intake.waiting[0].changes), c.writes.Burst()) {
+	at := stdTime(now)
+	// A submission of more changes than the budget ever holds goes when that is full.
+	need := min(c.intake.queue.Head(), c.writes.Burst())
+	tokens := int(c.writes.Room(at, admit.Submits))
+	if tokens < need && c.writes.Left(at) < float64(c.writes.Burst()) {
 		c.intake.busy = true
 		c.env.After(50*clock.Millisecond, func() {
 			c.intake.busy = false
@@ -222,25 +246,28 @@
 	}
 	room := min(c.limits().TxnOps, tokens)
 	txn := &wire.Txn{}
-	var batch, later []*submission
+	var batch []*submission
 	seen := map[string]bool{}
 	bytes := txnRest
-	for _, s := range c.intake.waiting {
+	fits := func(s *submission) bool {
 		bytes += changesSize(s.changes) + 4*changeRest // with its guards
-		if len(batch) > 0 && (len(txn.Then)+len(s.changes) > room || bytes > wire.MaxBody) || seen[s.job.ID] {
-			later = append(later, s)
-			continue
+		return (len(batch) == 0 || bytes <= wire.MaxBody) && !seen[s.job.ID]
+	}
+	for {
+		s, ok := c.intake.queue.Pop(room-len(txn.Then), len(batch) == 0, fits)
+		if !ok {
+			break
 		}
 		seen[s.job.ID] = true
 		batch = append(batch, s)
 		txn.If = append(txn.If, wire.Guard{Key: jobPrefix + s.job.ID}, wire.Guard{Key: finalPrefix + s.job.ID})
 		txn.Then = append(txn.Then, s.changes...)
 	}
-	c.intake.waiting = later
-	c.intake.busy = true
-	c.writes.AllowN(stdTime(now), min(len(txn.Then), tokens))
+	c.intake.busy, c.intake.sent = true, now
+	c.writes.Spend(at, admit.Submits, len(txn.Then))
 	c.env.State().Txn(txn, func(o store.Outcome, a *wire.TxnAnswer) {
 		c.intake.busy = false
+		c.intake.takes += (c.env.Now() - now - c.intake.takes) / 4
 		switch o {
 		case store.OK:
 			c.stateSeen = c.env.Now()
@@ -252,6 +279,7 @@
 					c.addSubmitted(s)
 					c.wake()
 				}
+				c.took(s, false)
 				s.reply(Answer{Code: 201, Status: wire.JobStatus{ID: s.job.ID, Phase: wire.PhaseQueued}})
 			}
 		case store.Failed:
@@ -259,10 +287,10 @@
 			for _, key := range a.Failed {
 				known[key[2:]] = true
 			}
-			var again []*submission
 			for _, s := range batch {
 				switch {
 				case known[s.job.ID]:
+					c.took(s, true)
 					c.Status(s.job.ID, func(a Answer) {
 						if a.Code == 404 { // cannot be: its record exists
 							a = unavailable
@@ -272,10 +300,9 @@
 				case len(known) == 0:
 					s.reply(unavailable)
 				default:
-					again = append(again, s)
+					c.await(s)
 				}
 			}
-			c.intake.waiting = append(again, c.intake.waiting...)
 		case store.Invalid:
 			c.resubmit(batch, txn.Then)
 		default:
@@ -308,7 +335,13 @@
 		return
 	}
 	for _, s := range batch {
-		c.enqueue(s.job, s.reply)
+		changes, why := c.jobChanges(s.job)
+		if why != "" {
+			s.reply(Answer{Code: 400, Status: wire.JobStatus{ID: why}})
+			continue
+		}
+		s.changes = changes
+		c.await(s)
 	}
 }
 
@@ -506,6 +539,7 @@
 			}
 		}
 		c.over(j)
+		c.noteOver(j)
 		c.archive(j)
 	}))
 	c.commit.pump()
--- /dev/null
+++ b/internal/peer/admission.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"lilacthread/internal/admit"
+	"lilacthread/wire/fb"
+)
+
+func encodeNotice(b *flatbuffers.Builder, n *admit.Notice) flatbuffers.UOffsetT {
+	if n == nil {
+		return 0
+	}
+	fb.NoticeStartAccountsVector(b, len(n.Accounts))
+	for i := len(n.Accounts) - 1; i >= 0; i-- {
+		a := &n.Accounts[i]
+		fb.CreateArrivals(b, a.Rate, a.Queued, a.Refused)
+	}
+	accounts := b.EndVector(len(n.Accounts))
+	fb.NoticeStartToldVector(b, len(n.Told))
+	for i := len(n.Told) - 1; i >= 0; i-- {
+		b.PrependUint32(n.Told[i])
+	}
+	told := b.EndVector(len(n.Told))
+	fb.NoticeStart(b)
+	fb.NoticeAddDigest(b, n.Digest)
+	fb.NoticeAddAccounts(b, accounts)
+	fb.NoticeAddTold(b, told)
+	return fb.NoticeEnd(b)
+}
+
+func decodeNotice(t *fb.Notice) *admit.Notice {
+	if t == nil {
+		return nil
+	}
+	n := &admit.Notice{Digest: t.Digest(), Accounts: make([]admit.Arrivals, bounded(t.AccountsLength()))}
+	var a fb.Arrivals
+	for i := range n.Accounts {
+		t.Accounts(&a, i)
+		n.Accounts[i] = admit.Arrivals{Rate: a.Rate(), Queued: a.Queued(), Refused: a.Refused()}
+	}
+	for i := range bounded(t.ToldLength()) {
+		n.Told = append(n.Told, t.Told(i))
+	}
+	return n
+}
+
+func encodeTable(b *flatbuffers.Builder, t *admit.Table) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	fb.AdmissionStartAccountsVector(b, len(t.Accounts))
+	for i := len(t.Accounts) - 1; i >= 0; i-- {
+		e := &t.Accounts[i]
+		fb.CreateEntry(b, e.Rate, e.Part, e.Slots, e.Held, e.Waiting, e.Floor, e.Share)
+	}
+	accounts := b.EndVector(len(t.Accounts))
+	fb.AdmissionStart(b)
+	fb.AdmissionAddTerm(b, t.Term)
+	fb.AdmissionAddNumber(b, t.Number)
+	fb.AdmissionAddDigest(b, t.Digest)
+	fb.AdmissionAddValidUs(b, uint64(t.Valid))
+	fb.AdmissionAddOver(b, t.Over)
+	fb.AdmissionAddAccounts(b, accounts)
+	return fb.AdmissionEnd(b)
+}
+
+func decodeTable(f *fb.Admission) *admit.Table {
+	if f == nil {
+		return nil
+	}
+	t := &admit.Table{Term: f.Term(), Number: f.Number(), Digest: f.Digest(), Valid: admit.Micros(f.ValidUs()),
+		Over: f.Over(), Accounts: make([]admit.Entry, bounded(f.AccountsLength()))}
+	var e fb.Entry
+	for i := range t.Accounts {
+		f.Accounts(&e, i)
+		t.Accounts[i] = admit.Entry{Rate: e.Rate(), Part: e.Part(), Slots: e.Slots(),
+			Held: e.Held(), Waiting: e.Waiting(), Floor: e.Floor(), Share: e.Share()}
+	}
+	return t
+}
+
+// bounded refuses a vector that is longer than any frame: its length is not to be
+// trusted before its elements were read.
+func bounded(n int) int {
+	if n < 0 || n > MaxFrame {
+		panic(errFrame) // as the library does; see Decode
+	}
+	return n
+}
--- a/internal/peer/msg.go
+++ b/internal/peer/msg.go
@@ -7,6 +7,7 @@
 
 	flatbuffers "github.com/google/flatbuffers/go"
 
+	"lilacthread/internal/admit"
 	"lilacthread/wire/fb"
 )
 
@@ -26,6 +27,11 @@
 	Running int
 	Speaks  int // the sender's highest format level; 0 from version 0.1
 	Level   int // the format level in force
+
+	Notice     *admit.Notice // with a greeting; nil from versions without admission
+	Table      *admit.Table  // with a leader's answer to one
+	RetryAfter int           // with a refusal, in seconds
+	InMemory   bool          // with a question for a job: answer from memory or not at all
 }
 
 // MaxFrame bounds a frame.
@@ -41,6 +47,7 @@
 	if m.Body != nil {
 		body = b.CreateByteVector(m.Body)
 	}
+	notice, table := encodeNotice(b, m.Notice), encodeTable(b, m.Table)
 	fb.MessageStart(b)
 	fb.MessageAddId(b, m.ID)
 	fb.MessageAddKind(b, m.Kind)
@@ -58,6 +65,10 @@
 	fb.MessageAddRunning(b, uint32(m.Running))
 	fb.MessageAddSpeaks(b, byte(m.Speaks))
 	fb.MessageAddLevel(b, byte(m.Level))
+	fb.MessageAddNotice(b, notice) // 0: none
+	fb.MessageAddAdmission(b, table)
+	fb.MessageAddRetryAfter(b, byte(m.RetryAfter))
+	fb.MessageAddInMemory(b, m.InMemory)
 	b.Finish(fb.MessageEnd(b))
 	return b.FinishedBytes()
 }
@@ -78,7 +89,8 @@
 		ID: t.Id(), Kind: t.Kind(), Node: string(t.Node()), Term: t.Term(),
 		StateOK: t.StateOk(), Reports: t.Reports(), Job: string(t.Uid()),
 		Code: int(t.Code()), Phase: string(t.Phase()), Done: int(t.Done()), Running: int(t.Running()),
-		Speaks: int(t.Speaks()), Level: int(t.Level()),
+		Speaks: int(t.Speaks()), Level: int(t.Level()), RetryAfter: int(t.RetryAfter()), InMemory: t.InMemory(),
+		Notice: decodeNotice(t.Notice(nil)), Table: decodeTable(t.Admission(nil)),
 	}
 	if body := t.BodyBytes(); body != nil {
 		m.Body = append([]byte(nil), body...)
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -22,3 +22,11 @@
 move_period_s = 600.0     # a replica moves once in this time on average at most
 emptying = 0.05           # share of the machines, and two, that may empty at once
 patience_s = 60.0         # jobs this much younger may go first where their image is
+
+# Admission under overload.
+admission = False         # off: whoever is first in the queue's order goes first
+floor = 0.2               # part of the machines divided equally among accounts first
+class_floors = {}         # of a class: part of the machines, in place of its part of floor
+class_weights = {}        # of a class: its weight in what is left, 1 if not named
+answer_s = 1.0            # a submission that would wait longer is told when to come back
+overload_s = 0.0          # overload begins when waiting work takes this long; 0: by the aims
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -5,10 +5,13 @@
 import (
 	_ "embed"
 	"fmt"
+	"maps"
+	"slices"
 
 	"go.starlark.net/starlark"
 	"go.starlark.net/syntax"
 
+	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
 )
 
@@ -33,6 +36,7 @@
 	MovePeriod    clock.Micros
 	Emptying      float64
 	Patience      clock.Micros
+	Admission     admit.Rules
 }
 
 // Default returns the embedded policy.
@@ -82,10 +86,33 @@
 		MovePeriod:    r.seconds("move_period_s", 1, 1e7),
 		Emptying:      r.number("emptying", 0, 1),
 		Patience:      r.seconds("patience_s", 0, 1e6),
+		Admission: admit.Rules{
+			On:      r.truth("admission"),
+			Floor:   r.number("floor", 0, 1),
+			Floors:  r.table("class_floors", 0, 1),
+			Weights: r.table("class_weights", 0, 1e6),
+			Answer:  r.seconds("answer_s", 0.01, 4),
+			Begins:  r.seconds("overload_s", 0, 1e6),
+		},
+	}
+	if sum := p.Admission.FloorSum(); sum > 1 && r.err == nil {
+		r.err = fmt.Errorf("policy: class_floors: with floor they are %v in sum, more than 1", sum)
 	}
 	return p, r.err
 }
 
+// Check compares what the policy says of classes with those that the settings name.
+func (p *Policy) Check(classes []string) error {
+	for name, table := range map[string]map[string]float64{"class_floors": p.Admission.Floors, "class_weights": p.Admission.Weights} {
+		for _, class := range slices.Sorted(maps.Keys(table)) {
+			if !slices.Contains(classes, class) {
+				return fmt.Errorf("policy: %s: no objective in the settings names the class %q", name, class)
+			}
+		}
+	}
+	return nil
+}
+
 type reader struct {
 	values starlark.StringDict
 	err    error
@@ -102,3 +129,32 @@
 func (r *reader) seconds(name string, min, max float64) clock.Micros {
 	return clock.FromSeconds(r.number(name, min, max))
 }
+
+func (r *reader) truth(name string) bool {
+	v, ok := r.values[name].(starlark.Bool)
+	if !ok && r.err == nil {
+		r.err = fmt.Errorf("policy: %s: %v is neither True nor False", name, r.values[name])
+	}
+	return bool(v)
+}
+
+// table reads a dictionary from names of classes to numbers.
+func (r *reader) table(name string, min, max float64) map[string]float64 {
+	out := map[string]float64{}
+	dict, ok := r.values[name].(*starlark.Dict)
+	if !ok && r.err == nil {
+		r.err = fmt.Errorf("policy: %s: %v is not a dictionary", name, r.values[name])
+	}
+	if !ok {
+		return out
+	}
+	for _, item := range dict.Items() {
+		class, text := starlark.AsString(item[0])
+		v, num := starlark.AsFloat(item[1])
+		if (!text || class == "" || !num || !(v >= min && v <= max)) && r.err == nil {
+			r.err = fmt.Errorf("policy: %s: %v: %v is not a class with a number between %v and %v", name, item[0], item[1], min, max)
+		}
+		out[class] = v
+	}
+	return out
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -23,6 +23,15 @@
 	MaxTasks int                // places that one machine's record can hold
 	Patience Micros             // how much older a job may be that is passed for an image's sake
 	SpotLoss float64            // how often the cloud takes a spot machine, per second
+	// What a job's account is due while there is more to do than the machines can
+	// take; nil in the usual order.
+	Due func(*Job) *Due
+}
+
+// Due is an account's part of the machines under overload, in CPUs.
+type Due struct {
+	Floor, Share float64
+	Held         float64 // by its tasks; Plan keeps it up to date
 }
 
 // Unplaced is demand that found no room.
@@ -52,19 +61,61 @@
 		}
 		return 0
 	}
-	slices.SortStableFunc(jobs, func(a, b *Job) int {
-		return cmp.Or(
-			cmp.Compare(a.urgency(now), b.urgency(now)),
-			cmp.Compare(b.Priority, a.Priority),
-			cmp.Compare(b2i(b.Deadline < clock.Forever), b2i(a.Deadline < clock.Forever)),
-			cmp.Compare(use(a), use(b)),
-			cmp.Compare(a.Start, b.Start),
-			cmp.Compare(b.Rank(), a.Rank()),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
+	slices.SortStableFunc(jobs, func(a, b *Job) int { return compareJobs(a, b, use, now) })
+}
+
+func compareJobs(a, b *Job, use func(*Job) float64, now Micros) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency(now), b.urgency(now)),
+		cmp.Compare(b.Priority, a.Priority),
+		cmp.Compare(b2i(b.Deadline < clock.Forever), b2i(a.Deadline < clock.Forever)),
+		cmp.Compare(use(a), use(b)),
+		cmp.Compare(a.Start, b.Start),
+		cmp.Compare(b.Rank(), a.Rank()),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// Levels of hope, which order the work of an account under overload: not all can be
+// served in time then, and who goes to those that are late already makes all others
+// late too. In the usual order, where nearly all are in time, that gains nothing.
+const (
+	inTime  = iota // can start as its users want it, or has begun and can end in time
+	lateEnd        // starts too late, but can be done by the widest of its aims
+	late
+)
+
+func (j *Job) hope(now Micros) int {
+	end := j.Deadline
+	if n := len(j.Targets); n > 0 {
+		end = min(end, j.Targets[n-1])
+	}
+	widest := j.StartBy
+	if end < clock.Forever {
+		widest = max(widest, end)
+	}
+	switch {
+	case widest <= 0 || now-j.Ready > longest*(widest-j.Ready):
+		return inTime // nobody waits for ever, however many come after him
+	case j.Placed+j.DoneCount > 0 && now+j.Estimate <= end:
+		return inTime // what has begun is ended: half of a job is of no use
+	case j.StartBy > 0 && now+pressedFor <= j.StartBy:
+		return inTime
+	case end == clock.Forever || now+pressedFor+3*j.Estimate/2 > end:
+		return late // its longest task ends later than the usual one, after a fetch
+	case j.StartBy == 0:
+		return inTime
+	}
+	return lateEnd
 }
 
+// InTime reports whether the job's tasks could start now as its users want them to.
+func (j *Job) InTime(now Micros) bool { return j.hope(now) == inTime }
+
+// longest is how many times its widest aim a job may have waited before it goes with
+// those that are still in time.
+const longest = 3
+
 // Levels of urgency.
 const (
 	first   = iota // production and high priority
@@ -120,6 +171,8 @@
 	room  []Need
 	share []float64 // of the CPUs that services hold
 
+	round int // of those under overload: see placeShares
+
 	open  []int // the machines that jobs of this level may find room on
 	yield []int // the machines with work that may be asked to leave; see makeRoom
 	known bool  // yield is worked out
@@ -170,15 +223,73 @@
 	jobs := slices.DeleteFunc(slices.Clone(in.Jobs), func(j *Job) bool {
 		return !j.Active() || len(j.Queue) == 0 || in.Now < j.HoldUntil
 	})
+	if in.Due != nil {
+		rest := slices.IndexFunc(jobs, func(j *Job) bool { return j.Priority < wire.PriorityProduction })
+		if rest >= 0 {
+			p.placeLevels(jobs[:rest])
+			slices.SortStableFunc(jobs[rest:], func(a, b *Job) int { return cmp.Compare(a.hope(in.Now), b.hope(in.Now)) })
+			p.placeShares(jobs[rest:])
+			return p.out
+		}
+	}
+	p.placeLevels(jobs)
+	return p.out
+}
+
+// placeLevels places jobs level by level, in their order.
+func (p *pass) placeLevels(jobs []*Job) {
 	for len(jobs) > 0 {
 		n := 1
-		for n < len(jobs) && jobs[0].equals(jobs[n], in.Now) {
+		for n < len(jobs) && jobs[0].equals(jobs[n], p.Now) && (p.round == 0 || jobs[0].hope(p.Now) == jobs[n].hope(p.Now)) {
 			n++
 		}
 		p.placeLevel(jobs[:n])
 		jobs = jobs[n:]
 	}
-	return p.out
+}
+
+// Rounds of a pass under overload. Outside of it there is only the last, in which
+// whatever room there is goes to whoever can use it.
+const (
+	belowFloor = iota + 1 // only accounts below their floor take places
+	belowShare            // and then those below their share
+	anyRoom
+)
+
+// placeShares places what is not production while there is more to do than the
+// machines can take. In the usual order a burst would keep all work of a lower level
+// waiting until it is over. Urgency and priority order each round, as ever, and what
+// the shares leave goes to whoever wants it: no room stays idle for a share's sake.
+func (p *pass) placeShares(jobs []*Job) {
+	for _, p.round = range []int{belowFloor, belowShare, anyRoom} {
+		p.placeLevels(slices.DeleteFunc(slices.Clone(jobs), func(j *Job) bool { return len(j.Queue) == 0 || !p.entitled(j) }))
+	}
+}
+
+// entitled reports whether a job's account may have one more place in this round.
+// The last place may go beyond the bound: a floor smaller than a task is one too.
+func (p *pass) entitled(j *Job) bool {
+	if p.last() {
+		return true
+	}
+	d := p.Due(j)
+	if p.round == belowFloor {
+		return d.Held < d.Floor-slack
+	}
+	return d.Held < d.Share-slack
+}
+
+// last reports whether what finds no room now finds none in this pass.
+func (p *pass) last() bool { return p.round == 0 || p.round == anyRoom }
+
+// beyond reports whether an account would keep its share without a place: only such
+// places are asked for by others' batch work under overload.
+func (p *pass) beyond(v *Placement) bool {
+	if p.Due == nil {
+		return true
+	}
+	d := p.Due(v.Job)
+	return d.Held-v.Need.CPUs >= d.Share-slack
 }
 
 // equals reports whether two jobs stand on the same level of urgency and
@@ -238,7 +349,7 @@
 // where its image is if warm is set.
 func (p *pass) placeEach(j *Job, warm bool) {
 	team := p.Teams[j.Spec.Team]
-	if !team.Allows(j.Need()) {
+	if !team.Allows(j.Need()) || !p.entitled(j) {
 		return
 	}
 	held := j.Zones(nil)
@@ -251,6 +362,9 @@
 		if !team.Allows(j.Need()) {
 			return // the limit, not room, holds it back: no machine is bought for it
 		}
+		if !p.entitled(j) {
+			return
+		}
 		i, victims := p.choose(j, held)
 		if i < 0 {
 			break
@@ -265,7 +379,7 @@
 		p.score(j, i)
 		p.rank(held, i)
 	}
-	if n := len(j.Queue); n > 0 && !warm {
+	if n := len(j.Queue); n > 0 && !warm && p.last() {
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
 		if j.Priority > wire.PriorityLow && j.Priority < wire.PriorityProduction {
 			p.makeRoom(j, n)
@@ -497,7 +611,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b *Placement) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a.Task, b.Task))
+		return cmp.Or(cmp.Compare(b2i(!p.beyond(a)), b2i(!p.beyond(b))), cmp.Compare(a.Priority, b.Priority), cmp.Compare(p.loss(a), p.loss(b)), cmp.Compare(a.Task, b.Task))
 	})
 	return list
 }
@@ -522,6 +636,15 @@
 		return // nothing can wait longer
 	}
 	need := j.Need()
+	if p.Due != nil {
+		// Under overload ends free room all the time, and shares follow what waits from
+		// pass to pass: work that had to leave with each of their turns would never be
+		// done. Only who is below his floor asks for more.
+		d := p.Due(j)
+		if n = min(n, int(math.Ceil((d.Floor-d.Held)/need.CPUs))); n <= 0 {
+			return
+		}
+	}
 	for _, i := range p.yielding() {
 		m := p.use[i]
 		if m.Errors > 0 || !p.allowed(j, m) {
@@ -545,7 +668,7 @@
 			// Only work that can wait makes way. The freed room goes to the queue's
 			// head: work that would stand before j there must not be stopped for
 			// it, or it would start and stop for ever.
-			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 || v.Job.urgency(p.Now) <= urgency {
+			if v.Job.Spec.Checkpoint <= 0 || v.Running == 0 || v.Job.urgency(p.Now) <= urgency || !p.beyond(v) {
 				continue
 			}
 			p.stop(v, v.Job.Spec.Save+1)
@@ -578,6 +701,7 @@
 
 func (p *pass) stop(v *Placement, grace float64) {
 	v.Stopping, v.Grace = true, grace
+	p.count(v, -1)
 	p.out.Stop = append(p.out.Stop, v)
 	if grace == 0 {
 		// The worker runs the stop before the launch that rides with it.
@@ -585,6 +709,13 @@
 	}
 }
 
+// count keeps what a place's account holds up to date.
+func (p *pass) count(pl *Placement, sign float64) {
+	if p.Due != nil && pl.Job != nil && pl.Job.Priority < wire.PriorityProduction {
+		p.Due(pl.Job).Held += sign * pl.Need.CPUs
+	}
+}
+
 func (p *pass) place(j *Job, i int, attempt uint64) {
 	m := p.use[i]
 	index := int(j.Queue[0])
@@ -595,6 +726,7 @@
 		Priority: j.Priority, Image: j.Spec.Image,
 	}
 	Attach(pl, p.Teams)
+	p.count(pl, 1)
 	p.room[i] = p.room[i].Sub(pl.Need)
 	if j.Service() {
 		p.share[i] += pl.Need.CPUs / m.Type.CPUs
@@ -673,7 +805,9 @@
 			return
 		}
 	}
-	p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
+	if p.last() {
+		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
+	}
 }
 
 func (p *pass) allZones() []string {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,6 +85,10 @@
 		if method(w, r, http.MethodGet) {
 			s.ready(w, r)
 		}
+	case path == "/admission":
+		if method(w, r, http.MethodGet) {
+			s.admission(w, r)
+		}
 	case path == jobs:
 		if method(w, r, http.MethodPost) {
 			s.submit(w, r)
@@ -167,6 +171,15 @@
 	write(w, http.StatusOK, map[string]string{})
 }
 
+func (s *Server) admission(w http.ResponseWriter, r *http.Request) {
+	a, ok := wait(s, r, 2*time.Second, func(c *controller.Core, reply func(*wire.Admission)) { reply(c.Admission()) })
+	if !ok {
+		problem(w, http.StatusServiceUnavailable, "busy")
+		return
+	}
+	write(w, http.StatusOK, a)
+}
+
 func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
 	body, ok := read(w, r)
 	if !ok {
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -13,6 +13,8 @@
 	Broken  []string
 	Now     func() Micros
 	Limits  map[string]float64 // CPUs a team may use; 0: no limit
+	Fair    bool               // starvation of a class or team counts as a broken rule
+	Widest  map[string]Micros  // the widest aim of a class
 	jobs    map[string]*judged
 	on      map[string]map[string]bool // task -> machines it is on
 	usage   map[string]float64
@@ -29,12 +31,13 @@
 	toldAt    Micros
 	since     Micros // when it was accepted
 	doneTasks map[int]bool
+	doneAt    Micros // when the last of them was
 	zones     map[string]int
 }
 
 // NewChecker makes a checker.
 func NewChecker() *Checker {
-	return &Checker{Now: func() Micros { return 0 }, Limits: map[string]float64{}, jobs: map[string]*judged{}, on: map[string]map[string]bool{}, usage: map[string]float64{}}
+	return &Checker{Now: func() Micros { return 0 }, Limits: map[string]float64{}, Widest: map[string]Micros{}, jobs: map[string]*judged{}, on: map[string]map[string]bool{}, usage: map[string]float64{}}
 }
 
 func (c *Checker) broke(rule, format string, args ...any) {
@@ -228,6 +231,9 @@
 	id, index, _ := wire.SplitTask(task)
 	if j := c.jobs[id]; j != nil {
 		j.doneTasks[index] = true
+		if len(j.doneTasks) == j.job.Tasks && j.doneAt == 0 {
+			j.doneAt = c.Now()
+		}
 	}
 }
 
@@ -247,4 +253,45 @@
 	if c.started == 0 && len(c.jobs) > 0 {
 		c.broke("nothing_ran", "no task was started")
 	}
+	if c.Fair {
+		c.judgeFair()
+	}
+}
+
+// judgeFair counts, for each class of each team, the jobs that were wanted, and those
+// served: done within the widest aim of the class. An account starves if less than half
+// of it is served, and less than three quarters of what is served of all, while another
+// has more than that.
+func (c *Checker) judgeFair() {
+	type account struct{ team, class string }
+	served, wanted := map[account]float64{}, map[account]float64{}
+	names := map[string]account{}
+	var all, allServed float64
+	for _, j := range c.jobs {
+		widest := c.Widest[j.job.Class]
+		if widest == 0 || j.job.Kind == wire.KindService || j.askCancel || j.accepted && j.since+widest > c.Now() {
+			continue
+		}
+		a := account{j.job.Team, j.job.Class}
+		names[a.team+"/"+a.class] = a
+		work := j.job.CPUs * float64(j.job.Tasks) * j.job.Estimate
+		wanted[a] += work
+		all += work
+		if j.accepted && j.doneAt > 0 && j.doneAt-j.since <= widest {
+			served[a] += work
+			allServed += work
+		}
+	}
+	for _, name := range sortedKeys(names) {
+		share, equal := served[names[name]]/wanted[names[name]], allServed/all
+		if share >= 0.5 || share >= 0.75*equal {
+			continue
+		}
+		for other, w := range wanted {
+			if served[other]/w > equal+0.01 {
+				c.broke("starved", "%s is served to %.2f, all to %.2f, %s/%s to %.2f", name, share, equal, other.team, other.class, served[other]/w)
+				break
+			}
+		}
+	}
 }
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"lilacthread/internal/config"
+	"lilacthread/internal/policy"
 	"lilacthread/wire"
 )
 
@@ -216,6 +217,45 @@
 				w.At(sec, s.verb("submit", parseArgs([]string{many(i), "array", "cpus=1", "run=" + a.pairs["run"]})))
 			}
 		}
+	case "admission": // on, with the policy's names
+		return func() {
+			program := "admission = True\n"
+			for _, k := range sortedKeys(a.pairs) {
+				program += k + " = " + a.pairs[k] + "\n"
+			}
+			pol, err := policy.Parse("admission", program)
+			if err != nil {
+				panic(err.Error())
+			}
+			w.pol = pol
+		}
+	case "objective":
+		return func() {
+			w.Config.Params.Objectives = append(w.Config.Params.Objectives, config.Objective{Kind: a.word(0), Class: a.word(1), Within: a.num("within", 60)})
+			w.Rules.Widest[a.word(1)] = max(w.Rules.Widest[a.word(1)], span("within", 60))
+		}
+	case "fair": // starvation is a rule on this day
+		return func() { w.Rules.Fair = true }
+	case "impatient":
+		return func() { w.Impatient = span("after", 0.2) }
+	case "slow": // the state service takes longer
+		return func() {
+			w.State.Slow = span("by", 0.2)
+			w.After(span("for", 20), func() { w.State.Slow = 0 })
+		}
+	case "burst": // jobs like the one described, numbered from the id on
+		return func() {
+			id, count := a.word(0), int(a.num("count", 10))
+			first, err := strconv.Atoi(strings.TrimPrefix(id, "req-"))
+			if err != nil {
+				panic("burst: " + id)
+			}
+			for i := range count {
+				job := s.job(a)
+				job.ID = fmt.Sprintf("req-%06d", first+i)
+				w.After(span("over", 0)*Micros(i)/Micros(count), func() { w.Submit(job) })
+			}
+		}
 	case "resubmit":
 		return func() { w.Users[a.word(0)].submit() }
 	case "poll":
@@ -526,6 +566,9 @@
 	if t := a.pairs["team"]; t != "" {
 		j.Team = t
 	}
+	if c := a.pairs["class"]; c != "" {
+		j.Class = c
+	}
 	if i := a.pairs["image"]; i != "" {
 		j.Image = i
 	}
@@ -568,6 +611,26 @@
 				}
 			}
 			return nil
+		case "accepted": // of all users, in time
+			most, n := Micros(0), 0
+			for _, id := range sortedKeys(w.Users) {
+				if u := w.Users[id]; !u.accepted {
+					return fmt.Errorf("t=%v: %s is not accepted (answer %d)", w.now.Seconds(), id, u.code)
+				} else if since := w.Rules.jobs[id].since - u.first; since > most {
+					most = since
+				}
+				n += w.Users[id].refused
+			}
+			if most.Seconds() > a.num("within", 60) || n > int(a.num("refused", 1e9)) || n < int(a.num("min-refused", 0)) {
+				return fmt.Errorf("t=%v: accepted after up to %v s, %d refusals", w.now.Seconds(), most.Seconds(), n)
+			}
+			return nil
+		case "answers": // to submissions, of any kind
+			list := slices.Sorted(slices.Values(w.Answers))
+			if at := list[len(list)*99/100]; at.Seconds() > a.num("p99", 0.2) {
+				return fmt.Errorf("t=%v: p99 of %d answers %v s", w.now.Seconds(), len(list), at.Seconds())
+			}
+			return nil
 		case "value": // the largest value that was asked for
 			if w.State.Largest > int(a.num("max", 1e9)) || w.State.Largest < int(a.num("min", 0)) {
 				return fmt.Errorf("t=%v: a value of %d bytes", w.now.Seconds(), w.State.Largest)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -82,6 +83,23 @@
 			c.Now = func() Micros { return 41 * sec }
 			c.Polled("req-000002", c.Asking("req-000002"), controller.Answer{Code: 200, Status: wire.JobStatus{Phase: wire.PhaseQueued}})
 		},
+		"starved": func(c *Checker) {
+			c.Fair, c.Widest["c"], c.Widest["d"] = true, 60*sec, 60*sec
+			for i, class := range []string{"c", "c", "d", "d"} {
+				id := fmt.Sprintf("req-%06d", 10+i)
+				c.Known(&wire.Job{ID: id, Class: class, Team: "core", Kind: wire.KindArray, Tasks: 1, CPUs: 1, Estimate: 10})
+				c.Submitted(id, c.Asking(id), controller.Answer{Code: 201, Status: wire.JobStatus{ID: id, Phase: wire.PhaseQueued}})
+				c.Started(0, id+"/0", "m-1", "t", "a", false)
+				c.Now = func() Micros { return 30 * sec }
+				if class == "d" {
+					c.Now = func() Micros { return 90 * sec }
+				}
+				c.Completed(id + "/0")
+				c.Now = func() Micros { return sec }
+			}
+			c.Now = func() Micros { return 200 * sec }
+			c.Finish()
+		},
 		"nothing_ran": func(c *Checker) { c.Finish() },
 	}
 	for rule, break_ := range cases {
@@ -93,3 +111,21 @@
 		}
 	}
 }
+
+// TestSharesNeeded plays the overload scenarios in the usual order: each then starves
+// somebody, so the rule catches it and the shares are what prevents it.
+func TestSharesNeeded(t *testing.T) {
+	files, err := filepath.Glob("testdata/overload_*.txt")
+	if err != nil || len(files) < 4 {
+		t.Fatalf("scenarios: %d found, %v", len(files), err)
+	}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := Play(strings.Replace(string(text), "\nadmission ", "\n# admission ", 1)); err == nil || !strings.Contains(err.Error(), "starved") {
+			t.Errorf("%s: %v", f, err)
+		}
+	}
+}
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -22,6 +22,7 @@
 	log      []wire.Event
 	watches  []*watch
 	Outage   bool
+	Slow     Micros            // answers take this much longer
 	Refuse   map[string]bool   // nodes that get 503
 	Late     map[string]Micros // nodes whose next transaction is applied this much later, with no answer
 	LateKeys string            // of those, only transactions that write a key with this prefix
@@ -254,7 +255,12 @@
 			respond(c.e.alive(refused))
 			return
 		}
-		respond(c.e.alive(f()))
+		answer := c.e.alive(f())
+		if s.Slow == 0 {
+			respond(answer)
+			return
+		}
+		c.e.n.w.After(s.Slow, func() { respond(answer) })
 	}, c.e.alive(unknown))
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -77,8 +77,11 @@
 	LateOrder Micros
 	// Reports are under way for this much longer.
 	SlowReports Micros
-	cuts        map[[2]string]Cut
-	held        map[[2]string][]func()
+	// Users come back when told, from 1 s on; impatient ones after this time.
+	Impatient Micros
+	Answers   []Micros // how long submissions waited for an answer
+	cuts      map[[2]string]Cut
+	held      map[[2]string][]func()
 }
 
 // NewWorld makes a world with the given number of controllers.
@@ -301,13 +304,17 @@
 	job  *wire.Job
 	Last string // last phase told
 	code int
+
+	first    Micros // attempt to submit
+	accepted bool
+	refused  int // answers 429
 }
 
 // Submit has a user submit a job and follow it until it is over.
 func (w *World) Submit(job *wire.Job) {
 	u := w.Users[job.ID]
 	if u == nil {
-		u = &User{w: w, job: job}
+		u = &User{w: w, job: job, first: w.now}
 		w.Users[job.ID] = u
 		w.Rules.Known(job)
 	}
@@ -338,17 +345,29 @@
 }
 
 func (u *User) submit() {
+	asked := u.w.now
 	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) },
 		func(f facts, a controller.Answer) {
 			u.code = a.Code
 			u.w.Rules.Submitted(u.job.ID, f, a)
+			if a.Code > 0 {
+				u.w.Answers = append(u.w.Answers, u.w.now-asked)
+			}
 			switch a.Code {
 			case 200, 201:
+				u.accepted = true
 				u.Last = a.Status.Phase
 				u.w.After(5*sec, u.poll)
 			case 400, 422:
 			default:
-				u.w.After(sec, u.submit)
+				wait := max(sec, Micros(min(a.RetryAfter, 30))*sec)
+				if u.w.Impatient > 0 {
+					wait = u.w.Impatient
+				}
+				if a.Code == 429 {
+					u.refused++
+				}
+				u.w.After(wait, u.submit)
 			}
 		})
 }
--- /dev/null
+++ b/wire/admission.go
@@ -0,0 +1,44 @@
+package wire
+
+// Admission tells how a node shares submissions, and the leader machines, among
+// accounts: the answer to GET /admission, for operators.
+type Admission struct {
+	Node     string             `msgpack:"node"`
+	On       bool               `msgpack:"on"`
+	Leads    bool               `msgpack:"leads"`
+	Over     bool               `msgpack:"overload"`
+	Term     uint64             `msgpack:"term"`   // of the table; 0 without a valid one
+	Number   uint64             `msgpack:"number"` // of the table in its term
+	Rate     float64            `msgpack:"rate"`   // changes a second that this node may make
+	Waiting  int                `msgpack:"waiting"`
+	Oldest   float64            `msgpack:"oldest_s"`
+	Accounts []AdmissionAccount `msgpack:"accounts"`
+}
+
+// AdmissionAccount is one account of it.
+type AdmissionAccount struct {
+	Team  string `msgpack:"team"`
+	Class string `msgpack:"class"` // empty: all classes that no objective names
+
+	Held    uint32 `msgpack:"held"` // CPUs
+	Waiting uint32 `msgpack:"waiting"`
+	Floor   uint32 `msgpack:"floor"` // 0 unless overloaded
+	Share   uint32 `msgpack:"share"`
+
+	Rate  float64 `msgpack:"rate"` // of submissions, over all nodes, in changes a second
+	Part  float64 `msgpack:"part"` // of it, this node's
+	Slots uint32  `msgpack:"slots"`
+
+	Queued  int    `msgpack:"queued"` // changes, at this node
+	Taken   uint64 `msgpack:"taken"`  // submissions, at this node since it started
+	Refused uint64 `msgpack:"refused"`
+	Known   uint64 `msgpack:"known"`
+
+	Accept50 int64 `msgpack:"accept_p50_ms"` // until a submission was answered
+	Accept99 int64 `msgpack:"accept_p99_ms"`
+	Start50  int64 `msgpack:"start_p50_ms"` // until a job's first task ran, on the leader
+	Start99  int64 `msgpack:"start_p99_ms"`
+
+	Over   uint64 `msgpack:"over"` // jobs done in this term, on the leader
+	InTime uint64 `msgpack:"in_time"`
+}
--- a/wire/fb/Message.go
+++ b/wire/fb/Message.go
@@ -211,8 +211,58 @@
 	return rcv._tab.MutateByteSlot(30, n)
 }
 
+func (rcv *Message) Notice(obj *Notice) *Notice {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(Notice)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
+func (rcv *Message) Admission(obj *Admission) *Admission {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(Admission)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
+func (rcv *Message) RetryAfter() byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		return rcv._tab.GetByte(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Message) MutateRetryAfter(n byte) bool {
+	return rcv._tab.MutateByteSlot(36, n)
+}
+
+func (rcv *Message) InMemory() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Message) MutateInMemory(n bool) bool {
+	return rcv._tab.MutateBoolSlot(38, n)
+}
+
 func MessageStart(builder *flatbuffers.Builder) {
-	builder.StartObject(14)
+	builder.StartObject(18)
 }
 func MessageAddId(builder *flatbuffers.Builder, id uint64) {
 	builder.PrependUint64Slot(0, id, 0)
@@ -259,6 +309,18 @@
 func MessageAddLevel(builder *flatbuffers.Builder, level byte) {
 	builder.PrependByteSlot(13, level, 0)
 }
+func MessageAddNotice(builder *flatbuffers.Builder, notice flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(14, flatbuffers.UOffsetT(notice), 0)
+}
+func MessageAddAdmission(builder *flatbuffers.Builder, admission flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(15, flatbuffers.UOffsetT(admission), 0)
+}
+func MessageAddRetryAfter(builder *flatbuffers.Builder, retryAfter byte) {
+	builder.PrependByteSlot(16, retryAfter, 0)
+}
+func MessageAddInMemory(builder *flatbuffers.Builder, inMemory bool) {
+	builder.PrependBoolSlot(17, inMemory, false)
+}
 func MessageEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
