--- a/cmd/lilacthread/main.go
+++ b/cmd/lilacthread/main.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kong"
 
 	"lilacthread/client"
+	"lilacthread/deploy"
 	"lilacthread/internal/config"
 	"lilacthread/internal/node"
 	"lilacthread/internal/policy"
@@ -38,23 +39,40 @@
 // usageError ends the program with exit code 2.
 type usageError struct{ error }
 
+// policies is what the operators set beyond the platform's settings.
+type policies struct {
+	With   []string `help:"Switch on what deploy/NAME.star sets, as built in; may be repeated." placeholder:"NAME"`
+	Policy string   `type:"path" help:"The operators' policy (Starlark)."`
+}
+
 type serveCmd struct {
 	Config string `required:"" type:"path" help:"The platform's settings file (JSON)."`
-	Policy string `type:"path" help:"The operators' policy (Starlark)."`
+	policies
 }
 
-func load(cfgPath, polPath string) (*config.Config, *policy.Policy, error) {
+// load reads the settings and, on top of the defaults and of what --with names, the
+// operators' policy.
+func (p *policies) load(cfgPath string) (*config.Config, *policy.Policy, error) {
 	cfg, err := config.Load(cfgPath)
 	if err != nil {
 		return nil, nil, usageError{err}
 	}
-	var program []byte
-	if polPath != "" {
-		if program, err = os.ReadFile(polPath); err != nil {
+	var programs []policy.Program
+	for _, name := range p.With {
+		file, text, err := deploy.Policy(name)
+		if err != nil {
+			return nil, nil, usageError{err}
+		}
+		programs = append(programs, policy.Program{Name: file, Text: text})
+	}
+	if p.Policy != "" {
+		text, err := os.ReadFile(p.Policy)
+		if err != nil {
 			return nil, nil, usageError{err}
 		}
+		programs = append(programs, policy.Program{Name: p.Policy, Text: string(text)})
 	}
-	pol, err := policy.Parse(polPath, string(program))
+	pol, err := policy.Parse(programs...)
 	if err != nil {
 		return nil, nil, usageError{err}
 	}
@@ -65,7 +83,7 @@
 }
 
 func (s *serveCmd) Run() error {
-	cfg, pol, err := load(s.Config, s.Policy)
+	cfg, pol, err := s.load(s.Config)
 	if err != nil {
 		return err
 	}
@@ -80,12 +98,12 @@
 }
 
 type checkCmd struct {
-	File   string `arg:"" type:"path" help:"The platform's settings file (JSON)."`
-	Policy string `type:"path" help:"The operators' policy (Starlark)."`
+	File string `arg:"" type:"path" help:"The platform's settings file (JSON)."`
+	policies
 }
 
 func (c *checkCmd) Run() error {
-	if _, _, err := load(c.File, c.Policy); err != nil {
+	if _, _, err := c.load(c.File); err != nil {
 		return err
 	}
 	fmt.Println("ok")
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -45,26 +45,27 @@
 	return sum
 }
 
-// begins is when work waiting means overload: a share of the narrowest of the
-// widest aims. What waits less than that is reached in time in the usual order.
-func (s *Shares) begins() Micros {
+// begins is when work waiting means overload: an eighth of the narrowest of the widest
+// aims of those who ask. What waits less than that is reached in time in the usual
+// order. Services are not among the demands: their aims are a few seconds.
+func (s *Shares) begins(demands []Demand) Micros {
 	if s.rules.Begins > 0 {
 		return s.rules.Begins
 	}
 	least := clock.Forever
-	for _, w := range s.book.Widest {
-		if w > 0 {
+	for a, w := range s.book.Widest {
+		if w > 0 && demands[a].Held+demands[a].Waiting > 0 {
 			least = min(least, w)
 		}
 	}
 	if least == clock.Forever {
 		return defaultBegins
 	}
-	return least / 4
+	return least / 8
 }
 
 const (
-	defaultBegins = 60 * clock.Second
+	defaultBegins = 40 * clock.Second
 	settles       = 3 * clock.Second // how long a change of mode must be called for
 	neutralAim    = 300 * clock.Second
 )
@@ -108,9 +109,10 @@
 	if total := held + waiting; total > 0 && capacity > 0 {
 		backlog = clock.FromSeconds(math.Min(work*waiting/total/capacity, 1e9))
 	}
-	over := backlog > s.begins() && !room
+	begins := s.begins(demands)
+	over := backlog > begins && !room
 	if s.Over {
-		over = backlog > s.begins()/3
+		over = backlog > begins/3
 	}
 	if over == s.Over {
 		s.since = clock.Forever
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -41,21 +41,24 @@
 
 // Default returns the embedded policy.
 func Default() *Policy {
-	p, err := Parse("", "")
+	p, err := Parse()
 	if err != nil {
 		panic(err) // the embedded program is covered by the tests
 	}
 	return p
 }
 
-// Parse runs the defaults and then the operator's program, named for messages.
-func Parse(name, program string) (*Policy, error) {
+// Program is a Starlark program, named for messages.
+type Program struct{ Name, Text string }
+
+// Parse runs the defaults and then the programs given, each on what those before it set.
+func Parse(programs ...Program) (*Policy, error) {
 	values := starlark.StringDict{}
 	known := map[string]bool{}
-	for i, src := range []struct{ name, text string }{{"default.star", defaults}, {name, program}} {
-		thread := &starlark.Thread{Name: src.name}
+	for i, src := range append([]Program{{"default.star", defaults}}, programs...) {
+		thread := &starlark.Thread{Name: src.Name}
 		thread.SetMaxExecutionSteps(1_000_000)
-		globals, err := starlark.ExecFileOptions(&syntax.FileOptions{}, thread, src.name, src.text, values)
+		globals, err := starlark.ExecFileOptions(&syntax.FileOptions{}, thread, src.Name, src.Text, values)
 		if err != nil {
 			return nil, fmt.Errorf("policy: %w", err)
 		}
@@ -63,7 +66,7 @@
 			if i == 0 {
 				known[k] = true
 			} else if _, fn := v.(starlark.Callable); !known[k] && !fn && k[0] != '_' {
-				return nil, fmt.Errorf("policy: %s: unknown setting %q", src.name, k)
+				return nil, fmt.Errorf("policy: %s: unknown setting %q", src.Name, k)
 			}
 			values[k] = v
 		}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -61,19 +61,17 @@
 		}
 		return 0
 	}
-	slices.SortStableFunc(jobs, func(a, b *Job) int { return compareJobs(a, b, use, now) })
-}
-
-func compareJobs(a, b *Job, use func(*Job) float64, now Micros) int {
-	return cmp.Or(
-		cmp.Compare(a.urgency(now), b.urgency(now)),
-		cmp.Compare(b.Priority, a.Priority),
-		cmp.Compare(b2i(b.Deadline < clock.Forever), b2i(a.Deadline < clock.Forever)),
-		cmp.Compare(use(a), use(b)),
-		cmp.Compare(a.Start, b.Start),
-		cmp.Compare(b.Rank(), a.Rank()),
-		cmp.Compare(a.ID, b.ID),
-	)
+	slices.SortStableFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(
+			cmp.Compare(a.urgency(now), b.urgency(now)),
+			cmp.Compare(b.Priority, a.Priority),
+			cmp.Compare(b2i(b.Deadline < clock.Forever), b2i(a.Deadline < clock.Forever)),
+			cmp.Compare(use(a), use(b)),
+			cmp.Compare(a.Start, b.Start),
+			cmp.Compare(b.Rank(), a.Rank()),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
 }
 
 // Levels of hope, which order the work of an account under overload: not all can be
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -223,7 +223,7 @@
 			for _, k := range sortedKeys(a.pairs) {
 				program += k + " = " + a.pairs[k] + "\n"
 			}
-			pol, err := policy.Parse("admission", program)
+			pol, err := policy.Parse(policy.Program{Name: "admission", Text: program})
 			if err != nil {
 				panic(err.Error())
 			}
