Admission: sharper tests of parts, an overload outlives its table, the leader at its rate

The scenario submit_while_writing keeps the leader writing at its rate while all nodes take in as much as they may. overload_leader_killed showed that the next leader never inherited the mode: an election takes 3 s and a table is valid for 3 s. WasOver looks 15 s beyond its end.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -62,6 +62,7 @@
 		w.purses = append(w.purses, NewPurse(w.book, w.limits))
 	}
 	w.elect(0)
+	w.giver.from = 0 // nobody led before
 	return w
 }
 
@@ -167,9 +168,7 @@
 					}
 				}
 			case 8:
-				for range rapid.IntRange(1, 200).Draw(t, "load") {
-					w.purses[node].Saw(rapid.IntRange(0, w.book.Len()-1).Draw(t, "account"), 1, w.local(node))
-				}
+				w.purses[node].Saw(rapid.IntRange(0, w.book.Len()-1).Draw(t, "account"), rapid.IntRange(1, 500).Draw(t, "load"), w.local(node))
 			case 9:
 				if rapid.Bool().Draw(t, "restart") {
 					w.purses[node] = NewPurse(w.book, w.limits)
@@ -224,7 +223,7 @@
 	}
 	explore(nil)
 	t.Logf("%d states to depth %d", states, depth)
-	if states < 2000 {
+	if states < 10_000 {
 		t.Errorf("only %d states", states)
 	}
 }
@@ -281,6 +280,47 @@
 	return s
 }
 
+// TestPartsEndInTime: at the very instant at which the leader counts a part as ended, its
+// holder does not use it any more, however their clocks differ and the answer was late.
+func TestPartsEndInTime(t *testing.T) {
+	for _, skew := range [][]int64{{5, -5, 0}, {-5, 5, 0}, {5, -5, 5}} {
+		for late := Micros(0); late < 4*clock.Second; late += 100 * clock.Millisecond {
+			w := newWorld(3, 1, skew)
+			load := func(node int) { w.purses[node].Saw(1, 500, w.local(node)) }
+			next := func() { w.giver.Next(w.local(0), false, nil, nil) }
+			load(1)
+			w.ask(1) // the leader learns of the load
+			w.flying = nil
+			next()
+			asked := w.local(1)
+			w.ask(1)
+			w.now += late
+			w.flying[0].asked = asked
+			if err := w.deliver(0); err != nil {
+				t.Fatal(err)
+			}
+			for end := w.now + 4*clock.Second; w.now < end; w.now += clock.Millisecond {
+				if w.giver.Out(w.local(0)) > 0 {
+					continue
+				}
+				load(2)
+				w.ask(2)
+				next()
+				w.ask(2)
+				for len(w.flying) > 0 {
+					if err := w.deliver(0); err != nil {
+						t.Fatal(err)
+					}
+				}
+				break
+			}
+			if err := w.check(); err != nil {
+				t.Fatalf("skew %v, %v late: %v", skew, late, err)
+			}
+		}
+	}
+}
+
 // TestPartsFollowDemand: a node with demand gets the pool, one that has none gives it
 // back within the life of a table.
 func TestPartsFollowDemand(t *testing.T) {
--- a/internal/admit/purse.go
+++ b/internal/admit/purse.go
@@ -65,6 +65,15 @@
 	return p.table
 }
 
+// WasOver reports whether the machines were overloaded when this node last heard of
+// it, not long ago: an election takes longer than a table is valid.
+func (p *Purse) WasOver(now Micros) bool {
+	return p.table != nil && p.table.Over && now < p.until+overLife
+}
+
+// overLife is how long an overload that one leader saw is likely to go on for the next.
+const overLife = 15 * clock.Second
+
 // Rate is the changes a second that this node may spend on submissions.
 func (p *Purse) Rate(now Micros) float64 {
 	rate := p.limits.Base
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -78,9 +78,7 @@
 func (c *Core) electAdmission(now Micros) {
 	c.giver = admit.NewGiver(c.book, c.cfg.Name, c.term, now, c.submitLimits())
 	c.shares = admit.NewShares(c.book, admitTeams(c.cfg), c.pol.Admission)
-	if t := c.purse.Table(now); t != nil {
-		c.shares.Over = t.Over
-	}
+	c.shares.Over = c.purse.WasOver(now)
 	c.waits.served = make([]served, c.book.Len())
 }
 
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -257,7 +257,12 @@
 			}
 		}
 	case "resubmit":
-		return func() { w.Users[a.word(0)].submit() }
+		return func() {
+			first, _ := strconv.Atoi(strings.TrimPrefix(a.word(0), "req-")) // checked when it was submitted
+			for i := range int(a.num("count", 1)) {
+				w.Users[fmt.Sprintf("req-%06d", first+i)].submit()
+			}
+		}
 	case "poll":
 		return func() {
 			if u := w.Users[a.word(0)]; u != nil {
@@ -625,6 +630,16 @@
 				return fmt.Errorf("t=%v: accepted after up to %v s, %d refusals", w.now.Seconds(), most.Seconds(), n)
 			}
 			return nil
+		case "overload": // as the leader has it
+			if l := w.Leader(); l == nil || !l.Up() || !l.core.Admission().Over {
+				return fmt.Errorf("t=%v: no overload", w.now.Seconds())
+			}
+			return nil
+		case "known-refused": // of jobs that were accepted
+			if w.KnownRefused > 0 {
+				return fmt.Errorf("t=%v: %d accepted jobs were refused", w.now.Seconds(), w.KnownRefused)
+			}
+			return nil
 		case "answers": // to submissions, of any kind
 			list := slices.Sorted(slices.Values(w.Answers))
 			if at := list[len(list)*99/100]; at.Seconds() > a.num("p99", 0.2) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -80,6 +80,8 @@
 	// Users come back when told, from 1 s on; impatient ones after this time.
 	Impatient Micros
 	Answers   []Micros // how long submissions waited for an answer
+	// Submissions of accepted jobs that were refused all the same.
+	KnownRefused int
 	cuts      map[[2]string]Cut
 	held      map[[2]string][]func()
 }
@@ -366,6 +368,9 @@
 				}
 				if a.Code == 429 {
 					u.refused++
+					if f.accepted {
+						u.w.KnownRefused++
+					}
 				}
 				u.w.After(wait, u.submit)
 			}
