--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -68,6 +68,7 @@
 	defaultBegins = 40 * clock.Second
 	settles       = 3 * clock.Second // how long a change of mode must be called for
 	neutralAim    = 300 * clock.Second
+	redress       = 3                // how much more a class weighs of which all is late
 )
 
 // NewShares makes the shares of a deployment.
@@ -127,9 +128,11 @@
 
 // divide shares out by teams and then, in each, by classes. A class's weight is the
 // work that can yet be in time over the time that its users allow for it: so queues of
-// all classes empty in the same part of their aims, and the served share of each is
-// alike however much one of them sends. What is late already weighs nothing, or a class
-// would gain by being late. The floor keeps a small one from drowning in that.
+// all classes empty in the same part of their aims, however much one of them sends. What
+// is late already weighs nothing itself, or old work would take the room of work that can
+// be served; but a class of which more is late than of others gets more for what is not,
+// so that the served share of each is alike. The floor keeps a small one from drowning in
+// that.
 func (s *Shares) divide(capacity float64, demands []Demand) []Due {
 	active := int64(0)
 	for _, d := range demands {
@@ -148,7 +151,7 @@
 				continue
 			}
 			d := demands[a]
-			ask := quota.Ask{Want: units(d.Held + d.Waiting), Floor: floor, Weight: s.weight(a, d.Fresh)}
+			ask := quota.Ask{Want: units(d.Held + d.Waiting), Floor: floor, Weight: s.weight(a, d)}
 			if f, ok := s.rules.Floors[account.Class]; ok {
 				ask.Floor = int64(float64(total) * f)
 			}
@@ -171,16 +174,19 @@
 	return dues
 }
 
-func (s *Shares) weight(a int, work float64) int64 {
+func (s *Shares) weight(a int, d Demand) int64 {
 	w, ok := s.rules.Weights[s.book.Accounts[a].Class]
 	if !ok {
 		w = 1
 	}
+	if d.Work > 0 {
+		w *= 1 + redress*(d.Work-d.Fresh)/d.Work
+	}
 	aim := s.book.Widest[a]
 	if aim <= 0 {
 		aim = neutralAim
 	}
-	return int64(math.Min(w*work*milli/aim.Seconds(), float64(quota.MaxAskWeight)))
+	return int64(math.Min(w*d.Fresh*milli/aim.Seconds(), float64(quota.MaxAskWeight)))
 }
 
 // units is thousandths of a CPU.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -82,8 +82,8 @@
 	Answers   []Micros // how long submissions waited for an answer
 	// Submissions of accepted jobs that were refused all the same.
 	KnownRefused int
-	cuts      map[[2]string]Cut
-	held      map[[2]string][]func()
+	cuts         map[[2]string]Cut
+	held         map[[2]string][]func()
 }
 
 // NewWorld makes a world with the given number of controllers.
