--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -68,7 +68,7 @@
 	defaultBegins = 40 * clock.Second
 	settles       = 3 * clock.Second // how long a change of mode must be called for
 	neutralAim    = 300 * clock.Second
-	redress       = 3                // how much more a class weighs of which all is late
+	redress       = 3 // how much more a class weighs of which all is late
 )
 
 // NewShares makes the shares of a deployment.
