Re-read: floors of ends and of idle writes are kept, a gang waits for its account's turn

Found by reading the change again: only urgent writes and submissions were noted as wanting, so the floors of the other two uses were never reserved; a gang was checked against its account's share only at the start of a round; demands of an earlier term could show in a table until the first pass.

--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -79,7 +79,8 @@
 	c.giver = admit.NewGiver(c.book, c.cfg.Name, c.term, now, c.submitLimits())
 	c.shares = admit.NewShares(c.book, admitTeams(c.cfg), c.pol.Admission)
 	c.shares.Over = c.purse.WasOver(now)
-	c.waits.served = make([]served, c.book.Len())
+	c.demands, c.dues = make([]admit.Demand, c.book.Len()), nil
+	c.waits.start, c.waits.served = nil, make([]served, c.book.Len())
 }
 
 // tendAdmission runs once a second: it gives the notice for the peers and, on the
@@ -308,10 +309,6 @@
 	if !c.pol.Admission.On {
 		return nil
 	}
-	if c.demands = c.demands[:0]; cap(c.demands) == 0 {
-		c.demands = make([]admit.Demand, 0, c.book.Len())
-	}
-	c.demands = c.demands[:c.book.Len()]
 	clear(c.demands)
 	for _, j := range c.jobs {
 		a := c.account(j.Spec)
@@ -333,7 +330,7 @@
 	was := c.shares.Over
 	dues := c.shares.Judge(now, c.batchRoom(), c.cloudHas(now), c.demands)
 	if was != c.shares.Over {
-		slog.Info("admission mode", "overload", c.shares.Over, "for_s", (now - c.electedAt).Seconds())
+		slog.Info("admission mode", "overload", c.shares.Over, "term", c.term)
 	}
 	if dues == nil {
 		c.dues = nil
--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -166,6 +166,8 @@
 	}
 	urgent, at := w.head(&w.queue, atOnce) != nil, stdTime(now)
 	c.writes.Want(admit.Urgent, urgent)
+	c.writes.Want(admit.Ends, due(w.head(&w.soon, merged), soonAfter))
+	c.writes.Want(admit.Idle, due(w.head(&w.lazy, whenIdle), 2*lazyAfter))
 	budget := c.writes.Room(at, admit.Urgent)
 	if !urgent {
 		budget = max(c.writes.Room(at, admit.Ends), c.writes.Room(at, admit.Idle))
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -69,12 +69,12 @@
 		return
 	}
 	again := func() { c.env.After(clock.Second, c.announce) }
-	if at := stdTime(c.env.Now()); c.writes.Room(at, admit.Idle) < 1 {
+	at := stdTime(c.env.Now())
+	if c.writes.Room(at, admit.Idle) < 1 {
 		again()
 		return
-	} else {
-		c.writes.Spend(at, admit.Idle, 1)
 	}
+	c.writes.Spend(at, admit.Idle, 1)
 	c.env.State().Txn(&wire.Txn{Then: []wire.Change{
 		{Put: nodePrefix + c.cfg.Name, Value: wire.Encode(&levelRecord{c.up.speaks})},
 	}}, func(o store.Outcome, _ *wire.TxnAnswer) {
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -778,8 +778,8 @@
 
 // placeGang places all tasks of a gang within this pass or none of them.
 func (p *pass) placeGang(j *Job) {
-	if j.Placed > 0 || len(j.Queue) < len(j.Tasks)-j.DoneCount {
-		return // old tasks have not left yet
+	if j.Placed > 0 || len(j.Queue) < len(j.Tasks)-j.DoneCount || !p.entitled(j) {
+		return // old tasks have not left yet, or others of its account came before it
 	}
 	n := len(j.Queue)
 	team := p.Teams[j.Spec.Team]
