--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -45,7 +45,7 @@
 	return sum
 }
 
-// begins is when work waiting means overload: an eighth of the narrowest of the widest
+// begins is when work waiting means overload: a quarter of the narrowest of the widest
 // aims of those who ask. What waits less than that is reached in time in the usual
 // order. Services are not among the demands: their aims are a few seconds.
 func (s *Shares) begins(demands []Demand) Micros {
@@ -61,12 +61,13 @@
 	if least == clock.Forever {
 		return defaultBegins
 	}
-	return least / 8
+	return max(least/4, beginsLeast)
 }
 
 const (
-	defaultBegins = 40 * clock.Second
-	settles       = 3 * clock.Second // how long a change of mode must be called for
+	defaultBegins = 75 * clock.Second
+	beginsLeast   = 60 * clock.Second // while a fleet starts, more than that can wait for its boots
+	settles       = 3 * clock.Second  // how long a change of mode must be called for
 	neutralAim    = 300 * clock.Second
 	redress       = 3 // how much more a class weighs of which all is late
 )
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"bytes"
+	"reflect"
 	"testing"
 
+	"lilacthread/internal/admit"
 	"lilacthread/wire/fb"
 )
 
 func sample() *Msg {
 	return &Msg{ID: 7, Kind: fb.KindStatus, Node: "n", Term: 3, StateOK: true, Reports: 2, Job: "req-000001",
-		Body: []byte{1, 2}, Code: 200, Phase: "done", Done: 4, Running: 5, Speaks: 2, Level: 1}
+		Body: []byte{1, 2}, Code: 200, Phase: "done", Done: 4, Running: 5, Speaks: 2, Level: 1,
+		RetryAfter: 9, InMemory: true,
+		Notice: &admit.Notice{Digest: 7, Accounts: []admit.Arrivals{{Rate: 1, Queued: 2, Refused: 3}, {Rate: 4}}, Told: []uint32{5, 6}},
+		Table: &admit.Table{Term: 3, Number: 4, Digest: 7, Valid: 3_000_000, Over: true,
+			Accounts: []admit.Entry{{Rate: 1, Part: 2, Slots: 4, Held: 5, Waiting: 6, Floor: 7, Share: 8}, {Rate: 9}}}}
 }
 
 func TestFrame(t *testing.T) {
@@ -19,7 +25,7 @@
 		t.Fatal(err)
 	}
 	got, err := ReadFrame(&buf)
-	if err != nil || !bytes.Equal(got.Encode(), want.Encode()) {
+	if err != nil || !reflect.DeepEqual(got, want) {
 		t.Fatalf("%+v, %v", got, err)
 	}
 	for name, raw := range map[string][]byte{
