--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -486,14 +486,15 @@
 func TestBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(30, 500).Draw(t, "rate")
-		b := NewBudget(rate)
-		greedy := Use(rapid.IntRange(0, int(uses)-1).Draw(t, "greedy"))
-		modest := Use(rapid.IntRange(0, int(uses)-1).Draw(t, "modest"))
+		floors := rapid.SampledFrom([]Floors{Changes, Reads}).Draw(t, "floors")
+		b := NewBudget(rate, floors)
+		greedy := Use(rapid.IntRange(0, len(floors)-1).Draw(t, "greedy"))
+		modest := Use(rapid.IntRange(0, len(floors)-1).Draw(t, "modest"))
 		if greedy == modest {
 			return
 		}
 		b.Want(modest, true)
-		spent := [uses]int{}
+		spent := make([]int, len(floors))
 		at := time.UnixMicro(1e12)
 		const seconds = 20
 		for step := range seconds * 100 {
@@ -501,10 +502,8 @@
 			n := int(b.Room(at, greedy))
 			b.Spend(at, greedy, n)
 			spent[greedy] += n
-			if step%5 == 0 {
-				n := int(b.Room(at, modest))
-				b.Spend(at, modest, n)
-				spent[modest] += n
+			for step%5 == 0 && b.Take(at, modest) {
+				spent[modest]++
 			}
 		}
 		if least := int(floors[modest]*rate*seconds*0.8) - 4; spent[modest] < least {
--- a/internal/admit/budget.go
+++ b/internal/admit/budget.go
@@ -6,44 +6,65 @@
 	"golang.org/x/time/rate"
 )
 
-// Use is what changes of the state service are spent on.
+// Use is what requests of the state service are spent on.
 type Use int
 
-// Uses, in no order: each has a floor.
+// Uses of changes, in no order: each has a floor.
 const (
 	Urgent  Use = iota // launches, ends of jobs, cancellations
 	Submits            // new jobs
 	Ends               // of single tasks
 	Idle               // images, archiving, what was learnt
-	uses
 )
 
-// floors are the parts of the changes that a use gets whatever the others want. What
-// a use does not want now is lent.
-var floors = [uses]float64{Urgent: 0.45, Submits: 0.2, Ends: 0.15, Idle: 0.05}
+// Uses of reads.
+const (
+	Lookups Use = iota // of a job for a user
+	Needs              // of a job that another awaits
+)
 
-// Floor is the part of the changes that a use gets whatever the others want.
-func Floor(u Use) float64 { return floors[u] }
+// Floors are the parts of a budget that its uses get whatever the others want. What a
+// use does not want now is lent.
+type Floors []float64
 
-// Budget shares a node's changes among its uses. A floor is a bucket of its own that
+// Floors of changes and of reads.
+var (
+	Changes = Floors{Urgent: 0.45, Submits: 0.2, Ends: 0.15, Idle: 0.05}
+	Reads   = Floors{Lookups: 0.5, Needs: 0.4}
+)
+
+// Budget shares a node's changes, or reads, among its uses. A floor is a bucket of its own that
 // fills at its part of the rate: while a use wants something, the others leave it what
 // its bucket holds. So no burst of one use keeps another waiting for longer than its
 // floor takes.
 type Budget struct {
-	all   *rate.Limiter
-	own   [uses]*rate.Limiter
-	wants [uses]bool
+	floors Floors
+	all    *rate.Limiter
+	own    []*rate.Limiter
+	wants  []bool
+	taken  []time.Time // when Take was last asked
 }
 
-// NewBudget makes a budget of so many changes a second.
-func NewBudget(perSecond float64) *Budget {
-	b := &Budget{all: rate.NewLimiter(rate.Limit(perSecond), burst(perSecond))}
-	for u := range b.own {
-		b.own[u] = rate.NewLimiter(rate.Limit(perSecond*floors[u]), burst(perSecond*floors[u]))
+// NewBudget makes a budget of so many a second.
+func NewBudget(perSecond float64, floors Floors) *Budget {
+	b := &Budget{floors: floors, all: rate.NewLimiter(rate.Limit(perSecond), burst(perSecond)),
+		wants: make([]bool, len(floors)), taken: make([]time.Time, len(floors))}
+	for _, f := range floors {
+		b.own = append(b.own, rate.NewLimiter(rate.Limit(perSecond*f), burst(perSecond*f)))
 	}
 	return b
 }
 
+// Take spends one if there is room. A use that asks so wants something for a second.
+func (b *Budget) Take(at time.Time, u Use) bool {
+	b.taken[u] = at
+	if b.Room(at, u) < 1 {
+		return false
+	}
+	b.Spend(at, u, 1)
+	return true
+}
+
 // burst is a second's worth, as the state service allows; a transaction of a few
 // changes must fit.
 func burst(perSecond float64) int { return max(int(perSecond), 4) }
@@ -59,10 +80,13 @@
 	}
 	set(b.all, perSecond)
 	for u := range b.own {
-		set(b.own[u], perSecond*floors[u])
+		set(b.own[u], perSecond*b.floors[u])
 	}
 }
 
+// Floor is the rate that a use gets whatever the others want.
+func (b *Budget) Floor(u Use) float64 { return b.Rate() * b.floors[u] }
+
 // Want notes whether a use has something waiting.
 func (b *Budget) Want(u Use, wants bool) { b.wants[u] = wants }
 
@@ -70,7 +94,7 @@
 func (b *Budget) Room(at time.Time, u Use) float64 {
 	have := b.all.TokensAt(at)
 	for o := range b.own {
-		if Use(o) != u && b.wants[o] {
+		if Use(o) != u && (b.wants[o] || at.Sub(b.taken[o]) < time.Second) {
 			have -= b.Own(at, Use(o))
 		}
 	}
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -172,7 +172,7 @@
 // submitRate is the changes a second that submissions surely get.
 func (c *Core) submitRate() float64 {
 	if c.Serving() {
-		return c.writes.Rate() * admit.Floor(admit.Submits)
+		return c.writes.Floor(admit.Submits)
 	}
 	return c.writes.Rate()
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -69,14 +69,13 @@
 
 // Core is one controller.
 type Core struct {
-	env     Env
-	cfg     *config.Config
-	pol     *policy.Policy
-	lead    *lead.Elector
-	writes  *admit.Budget // puts and deletes
-	calls   *rate.Limiter // requests to the cloud
-	lookups *rate.Limiter // reads of single jobs for users
-	needs   *rate.Limiter // reads of jobs that others await
+	env    Env
+	cfg    *config.Config
+	pol    *policy.Policy
+	lead   *lead.Elector
+	writes *admit.Budget // puts and deletes
+	calls  *rate.Limiter // requests to the cloud
+	reads  *admit.Budget // of single jobs: for users, and of those that others await
 
 	up         upgrade
 	levelsRead Micros          // when the leader last read the announcements
@@ -161,11 +160,9 @@
 	c.purse = admit.NewPurse(c.book, c.submitLimits())
 	c.intake.queue = admit.NewQueue[*submission](c.book.Len(),
 		admit.Bounds{Count: maxWaiting, Bytes: int(cfg.Params.Resources.MemoryMB * (1 << 20) / intakeMemory)})
-	c.writes = admit.NewBudget(c.writeRate(0))
+	c.writes = admit.NewBudget(c.writeRate(0), admit.Changes)
 	c.calls = rate.NewLimiter(rate.Limit(cfg.Params.Cloud.RPS*0.9), max(int(cfg.Params.Cloud.RPS), 1))
-	look := cfg.Params.State.Lowest().RPS * lookupShare
-	c.lookups = rate.NewLimiter(rate.Limit(cfg.Params.State.RPS*lookupShare), int(look)+1)
-	c.needs = rate.NewLimiter(rate.Limit(look), int(look)+1)
+	c.reads = admit.NewBudget(cfg.Params.State.RPS*readShare, admit.Reads)
 	for _, p := range cfg.Peers {
 		c.peers[p.Name] = &peerInfo{at: -clock.Forever}
 	}
@@ -183,7 +180,7 @@
 const (
 	leaderShare   = 0.7
 	followerShare = 0.12
-	lookupShare   = 0.1 // of the request budget, two requests each
+	readShare     = 0.2 // of the request budget, two requests each
 )
 
 // Start begins the controller's work.
--- a/internal/controller/graph.go
+++ b/internal/controller/graph.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
 	"lilacthread/internal/sched"
 	"lilacthread/internal/store"
@@ -149,7 +150,7 @@
 
 func (c *Core) tryNeed(id string) {
 	again := func() { c.env.After(needRetry, c.during(func() { c.tryNeed(id) })) }
-	if c.jobs[id] == nil && !c.needs.AllowN(stdTime(c.env.Now()), 1) {
+	if c.jobs[id] == nil && !c.reads.Take(stdTime(c.env.Now()), admit.Needs) {
 		again()
 		return
 	}
@@ -238,7 +239,7 @@
 				continue
 			}
 		}
-		if !c.stateOK() || !c.needs.AllowN(stdTime(c.env.Now()), 1) {
+		if !c.stateOK() || !c.reads.Take(stdTime(c.env.Now()), admit.Needs) {
 			v.unknown = true
 			break // the rest would be asked for in vain; what was read is remembered
 		}
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
-	"golang.org/x/time/rate"
 
 	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
@@ -155,8 +154,7 @@
 	c.up.level = LevelTasks
 	slog.Info("format level raised", "level", c.up.level, "why", why)
 	c.setWriteShare()
-	at := stdTime(c.env.Now())
-	c.lookups.SetLimitAt(at, rate.Limit(c.limits().RPS*lookupShare))
+	c.reads.Set(stdTime(c.env.Now()), c.limits().RPS*readShare)
 	if c.lead.Leading() && c.loaded {
 		c.convert()
 	}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -406,7 +406,7 @@
 // lookup reads a job's state from the state service. The job is looked for
 // first and its final record second, the order in which archiving moves it.
 func (c *Core) lookup(id string, reply func(Answer)) {
-	if !c.stateOK() || !c.lookups.AllowN(stdTime(c.env.Now()), 1) {
+	if !c.stateOK() || !c.reads.Take(stdTime(c.env.Now()), admit.Lookups) {
 		reply(unavailable)
 		return
 	}
