Read once more: two fields of the intake that nobody read are gone

How long a transaction of submissions takes was smoothed and never used: what must wait follows from the budget alone. Behaviour is the same; all tests pass as they were.

--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -22,8 +22,6 @@
 type intake struct {
 	queue *admit.Queue[*submission]
 	busy  bool
-	takes Micros // how long a transaction of submissions takes, smoothed
-	sent  Micros // when the one under way was sent
 }
 
 type submission struct {
@@ -263,11 +261,10 @@
 		txn.If = append(txn.If, wire.Guard{Key: jobPrefix + s.job.ID}, wire.Guard{Key: finalPrefix + s.job.ID})
 		txn.Then = append(txn.Then, s.changes...)
 	}
-	c.intake.busy, c.intake.sent = true, now
+	c.intake.busy = true
 	c.writes.Spend(at, admit.Submits, len(txn.Then))
 	c.env.State().Txn(txn, func(o store.Outcome, a *wire.TxnAnswer) {
 		c.intake.busy = false
-		c.intake.takes += (c.env.Now() - now - c.intake.takes) / 4
 		switch o {
 		case store.OK:
 			c.stateSeen = c.env.Now()
