Sums over tasks and machines by the dominant resource, not by CPUs alone

Need.On and Need.Left count by the larger part; where a type has no accelerators they are the CPUs, and nothing changes.

--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -319,9 +319,9 @@
 			continue
 		}
 		d := &c.demands[a]
-		d.Held += float64(j.Placed) * j.Spec.CPUs
+		d.Held += float64(j.Placed) * j.Size()
 		if j.Active() {
-			d.Waiting += float64(len(j.Queue)) * j.Spec.CPUs
+			d.Waiting += float64(len(j.Queue)) * j.Size()
 			d.Work += j.Work()
 			jobs = append(jobs, j)
 		}
@@ -356,7 +356,7 @@
 		j := jobs[i]
 		j.Turn = turn
 		if turn.Needed {
-			c.dues[cases[i].Account].Floor += float64(j.Placed+len(j.Queue)) * j.Spec.CPUs
+			c.dues[cases[i].Account].Floor += float64(j.Placed+len(j.Queue)) * j.Size()
 		}
 	}
 	none := &sched.Due{} // for what has no account
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -124,6 +124,9 @@
 	}
 	slices.SortFunc(types, func(a, b wire.MachineType) int { return strings.Compare(a.Name, b.Name) })
 	c.catalog = types
+	for _, j := range c.jobs {
+		j.Measure(types)
+	}
 	for _, m := range c.machines {
 		if t := c.typeNamed(m.Type.Name); t != nil {
 			m.Type = t
@@ -444,7 +447,7 @@
 			}
 		}
 	}
-	if in.Service != nil && in.Headroom < in.Service.Spec.CPUs/2 {
+	if in.Service != nil && in.Headroom < in.Service.Size()/2 {
 		in.Headroom = 0 // services have all but stopped coming
 	}
 	return in
@@ -582,11 +585,11 @@
 			switch {
 			case p.Exited:
 			case p.Running == 0:
-				s.fetching += p.Need.CPUs
+				s.fetching += p.Need.On(m.Type)
 			case p.Job != nil && p.Job.Service():
-				s.services += p.Need.CPUs
+				s.services += p.Need.On(m.Type)
 			default:
-				s.other += p.Need.CPUs
+				s.other += p.Need.On(m.Type)
 			}
 		}
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -444,6 +444,7 @@
 		AwaitsParts: rec.Parts,
 	}
 	j.Init()
+	j.Measure(c.catalog)
 	c.jobs[j.ID] = j
 	if len(spec.Awaits) == 0 {
 		c.setReady(j, j.Submitted)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -568,7 +568,7 @@
 		a = &arrival{at: now, since: now}
 		c.arrivals[j.Spec.Class] = a
 	}
-	asked := j.Spec.CPUs * float64(j.Spec.Tasks)
+	asked := j.Whole()
 	if j.Service() {
 		a.job = j
 	} else {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,7 +124,7 @@
 				start = b.Now
 			}
 			left := p.Job.Estimate - p.Job.Tasks[p.Index].Progress
-			b.frees = append(b.frees, free{max(b.Now, start+left), p.Need.CPUs, kind, m.Type})
+			b.frees = append(b.frees, free{max(b.Now, start+left), p.Need.On(m.Type), kind, m.Type})
 		}
 	}
 	slices.SortFunc(b.frees, compareFree)
@@ -149,7 +149,7 @@
 	for _, m := range in.Machines {
 		if !m.Up && !m.Releasing && !m.Failed && !in.missing(m) {
 			b.bins = append(b.bins, &bin{kindOf(m), m.Type, m.Room(),
-				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Room().CPUs})
+				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Free()})
 		}
 		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed && !in.missing(m) {
 			b.supply += m.Type.CPUs
@@ -171,7 +171,7 @@
 
 func (b *buyer) plan() []Buy {
 	for _, u := range b.Unplaced {
-		b.left += float64(u.Count) * u.Job.Spec.CPUs
+		b.left += float64(u.Count) * u.Job.Size()
 	}
 	for _, u := range b.Unplaced {
 		b.demand(u)
@@ -214,13 +214,13 @@
 	held := j.Zones(nil)
 	next := 0 // a bin that has no room for one task of a job has none for the others
 	for range u.Count {
-		b.left -= need.CPUs
+		b.left -= j.Size()
 		if b.fromBins(j, need, held, &next) {
 			continue
 		}
 		wait := clock.Forever
 		if j.Array() {
-			wait = b.nextFree(j, need.CPUs) - b.Now
+			wait = b.nextFree(j, need) - b.Now
 		}
 		kind, ok := b.pick(j, need, held, wait)
 		switch {
@@ -230,7 +230,7 @@
 			b.bins = append(b.bins, b.newBin(kind, b.typ(kind.Type)))
 			b.fromBins(j, need, held, &next)
 		case wait < clock.Forever/2:
-			b.consume(j, need.CPUs)
+			b.consume(j, need)
 		default:
 			return
 		}
@@ -244,13 +244,13 @@
 		if need.Fits(x.room) && j.Allows(x.typ, x.kind.Zone, x.kind.Spot) && sched.ZoneAllows(j, held, x.kind.Zone) {
 			x.room = x.room.Sub(need)
 			if j.Priority == wire.PriorityProduction {
-				x.yield -= need.CPUs
+				x.yield -= need.On(x.typ)
 			}
 			if held != nil {
 				held[x.kind.Zone]++
 			}
 			if j.Array() {
-				b.release(free{x.at + j.Estimate, need.CPUs, x.kind, x.typ})
+				b.release(free{x.at + j.Estimate, need.On(x.typ), x.kind, x.typ})
 			}
 			return true
 		}
@@ -260,15 +260,16 @@
 
 // nextFree finds when tasks that run, or will run, have freed enough for one
 // more task of j.
-func (b *buyer) nextFree(j *sched.Job, cpus float64) sched.Micros {
+func (b *buyer) nextFree(j *sched.Job, need sched.Need) sched.Micros {
 	b.free()
+	part := 1.0 // of the task that has no room yet
 	for b.head < len(b.frees) && b.frees[b.head].cpus <= 0 {
 		b.head++
 	}
 	for _, f := range b.frees[b.head:] {
 		b.looked++
 		if f.cpus > 0 && j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
-			if cpus -= f.cpus; cpus <= 1e-6 {
+			if part -= f.cpus / need.On(f.typ); part <= 1e-6 {
 				return f.at
 			}
 		}
@@ -277,18 +278,19 @@
 }
 
 // consume gives the next free room to a task of j, until that ends.
-func (b *buyer) consume(j *sched.Job, cpus float64) {
-	need := cpus
+func (b *buyer) consume(j *sched.Job, need sched.Need) {
+	part := 1.0
 	for i := b.head; i < len(b.frees); i++ {
 		f := &b.frees[i]
 		b.looked++
 		if f.cpus <= 0 || !j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
 			continue
 		}
-		take := min(cpus, f.cpus)
+		size := need.On(f.typ)
+		take := min(part*size, f.cpus)
 		f.cpus -= take
-		if cpus -= take; cpus <= 1e-6 {
-			b.release(free{f.at + j.Estimate, need, f.kind, f.typ})
+		if part -= take / size; part <= 1e-6 {
+			b.release(free{f.at + j.Estimate, size, f.kind, f.typ})
 			return
 		}
 	}
@@ -301,8 +303,8 @@
 	best, bestCost := Kind{}, math.Inf(1)
 	for i := range b.Catalog {
 		t := &b.Catalog[i]
-		slots := math.Floor(math.Min(ratio(t.CPUs, need.CPUs), ratio(t.MemoryGB, need.Memory)) + 1e-9)
-		usable := math.Min(math.Max(slots, 1)*need.CPUs, need.CPUs+b.left)
+		slots := math.Floor(min(ratio(t.CPUs, need.CPUs), ratio(t.GPUs, need.GPUs), ratio(t.MemoryGB, need.Memory)) + 1e-9)
+		usable := math.Min(math.Max(slots, 1)*need.On(t), need.On(t)+b.left)
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				k := Kind{t.Name, zone, spot}
@@ -375,7 +377,7 @@
 		}
 	}
 	for have < b.Headroom {
-		b.left = b.Headroom - have - need.CPUs
+		b.left = b.Headroom - have - b.Service.Size()
 		k, ok := b.pick(b.Service, need, nil, clock.Forever)
 		if !ok {
 			return
@@ -422,7 +424,7 @@
 	}
 	var list []candidate
 	for _, m := range in.Machines {
-		room := m.Room().CPUs
+		room := m.Free()
 		switch {
 		case m.Retiring && !m.Releasing:
 			all -= m.Type.CPUs - room
@@ -444,7 +446,7 @@
 	var out []*sched.Machine
 	for _, c := range list {
 		m := c.m
-		room := m.Room().CPUs
+		room := m.Free()
 		used := m.Type.CPUs - room
 		// Batch work finishes where it is; its successors need room elsewhere.
 		if c.cost <= 0 || all-room < used+in.Headroom {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -62,6 +62,8 @@
 	GangAttempt uint64 // attempt shared by a gang's tasks
 
 	Turn admit.Turn // under overload
+
+	size float64 // see Measure
 }
 
 // Task is one task of a job.
@@ -146,7 +148,7 @@
 
 	Places map[string]*Placement
 	held   Need              // by the places that are not exited; see hold
-	prod   float64           // the CPUs of it that production work holds
+	prod   float64           // the CPUs of it that production work holds, see Need.On
 	slot   int               // in the pass under way
 	Images map[string]Micros // last use
 	Sizes  map[string]float64
@@ -167,6 +169,9 @@
 // theirs; exited tasks hold none.
 func (m *Machine) Room() Need { return m.Size().Sub(m.held) }
 
+// Free is the room that it has, in its CPUs.
+func (m *Machine) Free() float64 { return m.Room().Left(m.Type) }
+
 // Production is the CPUs that production work holds, which nothing may stop.
 func (m *Machine) Production() float64 { return m.prod }
 
@@ -174,7 +179,7 @@
 func (m *Machine) hold(p *Placement, sign float64) {
 	m.held = m.held.Add(Need{sign * p.Need.CPUs, sign * p.Need.GPUs, sign * p.Need.Memory})
 	if p.Priority == wire.PriorityProduction {
-		m.prod += sign * p.Need.CPUs
+		m.prod += sign * p.Need.On(m.Type)
 	}
 }
 
@@ -245,6 +250,7 @@
 	Name             string
 	Guarantee, Limit Need    // CPUs and GPUs; 0 means none
 	Held             Need    // by placements without proof of absence
+	Size             float64 // the same in CPUs, see Need.On
 	Use              float64 // CPU-seconds decayed over the window
 	UseAt            Micros
 }
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -240,7 +240,7 @@
 		share := 0.0
 		for _, pl := range m.Places {
 			if pl.Job != nil && pl.Job.Service() && !pl.Exited {
-				share += pl.Need.CPUs / m.Type.CPUs
+				share += pl.Need.On(m.Type) / m.Type.CPUs
 			}
 		}
 		p.use, p.room, p.share = append(p.use, m), append(p.room, m.Room()), append(p.share, share)
@@ -327,7 +327,7 @@
 // Work is what the job yet needs, in CPU-seconds: half of what its placed tasks take in
 // all, and what its waiting ones will.
 func (j *Job) Work() float64 {
-	return (float64(j.Placed)/2 + float64(len(j.Queue))) * j.Spec.CPUs * j.Estimate.Seconds()
+	return (float64(j.Placed)/2 + float64(len(j.Queue))) * j.Size() * j.Estimate.Seconds()
 }
 
 // entitled reports whether a job may have one more place in this round. The last place
@@ -598,22 +598,22 @@
 // them, which is paid for anyway, then spot machines, then ordinary ones, the
 // fullest first: so machines empty and can be returned.
 func (p *pass) packing(j *Job, i int) float64 {
-	m, room := p.use[i], p.room[i]
-	cost := 0.0
+	m := p.use[i]
+	room, cost := p.room[i].Left(m.Type), 0.0
 	switch share := p.share[i]; {
 	case j.Service():
 		cost = 2 * (1 - share)
 	case share > 0 && !m.Spot:
-		cost = room.CPUs / m.Type.CPUs
+		cost = room / m.Type.CPUs
 	case p.frail && !m.Spot:
-		cost = room.CPUs / m.Type.CPUs
+		cost = room / m.Type.CPUs
 	case m.Spot || !j.Spec.Spot:
-		cost = 1 + room.CPUs/m.Type.CPUs
+		cost = 1 + room/m.Type.CPUs
 	default:
 		// A spot machine that must fetch first is cheaper than an ordinary one
 		// that need not, as long as the job can wait for the fetch.
 		slack := j.Slack(p.Now).Seconds()
-		cost = 3 + room.CPUs/m.Type.CPUs + max(0, min(slack/2, 0.4*j.Estimate.Seconds()))
+		cost = 3 + room/m.Type.CPUs + max(0, min(slack/2, 0.4*j.Estimate.Seconds()))
 	}
 	if m.Errors > 0 {
 		cost += 60
@@ -683,7 +683,7 @@
 	if knot := clock.FromSeconds(v.Job.Spec.Checkpoint); knot > 0 {
 		ran %= knot
 	}
-	return ran.Seconds() * v.Need.CPUs
+	return ran.Seconds() * v.Need.On(v.Machine.Type)
 }
 
 // makeRoom stops checkpointed work of lower priority, with time to save, for
@@ -767,7 +767,7 @@
 // count keeps what a place's account holds up to date.
 func (p *pass) count(pl *Placement, sign float64) {
 	if p.Due != nil && pl.Job != nil && pl.Job.Priority < wire.PriorityProduction {
-		p.Due(pl.Job).Held += sign * pl.Need.CPUs
+		p.Due(pl.Job).Held += sign * pl.Need.On(pl.Machine.Type)
 	}
 }
 
@@ -784,7 +784,7 @@
 	p.count(pl, 1)
 	p.room[i] = p.room[i].Sub(pl.Need)
 	if j.Service() {
-		p.share[i] += pl.Need.CPUs / m.Type.CPUs
+		p.share[i] += pl.Need.On(m.Type) / m.Type.CPUs
 	}
 	p.out.Launch = append(p.out.Launch, pl)
 }
@@ -798,7 +798,7 @@
 	pl.Machine.hold(pl, 1)
 	pl.Machine.Places[pl.Task] = pl
 	if t := teams[pl.Team]; t != nil {
-		t.Held = t.Held.Add(pl.Need)
+		t.Held, t.Size = t.Held.Add(pl.Need), t.Size+pl.Need.On(pl.Machine.Type)
 	}
 	if pl.Job != nil {
 		pl.Job.Placed++
@@ -817,7 +817,7 @@
 		pl.Machine.hold(pl, -1)
 	}
 	if t := teams[pl.Team]; t != nil {
-		t.Held = t.Held.Sub(pl.Need)
+		t.Held, t.Size = t.Held.Sub(pl.Need), t.Size-pl.Need.On(pl.Machine.Type)
 	}
 	if pl.Job != nil {
 		pl.Job.Placed--
@@ -903,14 +903,3 @@
 func Smooth(alpha float64, latest, old Micros) Micros {
 	return Micros(math.Round(alpha*float64(latest) + (1-alpha)*float64(old)))
 }
-
-// Decay brings a team's use up to now: what it holds adds up, and the past
-// fades over the window.
-func (t *Team) Decay(now, window Micros) {
-	dt := now - t.UseAt
-	if dt <= 0 {
-		return
-	}
-	t.Use = t.Use*math.Exp(-float64(dt)/float64(window)) + t.Held.CPUs*dt.Seconds()
-	t.UseAt = now
-}
--- /dev/null
+++ b/internal/sched/size.go
@@ -0,0 +1,63 @@
+package sched
+
+import (
+	"math"
+
+	"lilacthread/wire"
+)
+
+// Sums over tasks and machines are kept in CPUs, but by the dominant resource: where
+// machines have accelerators and run out of those first, a task that takes one of four
+// takes a quarter of the machine's CPUs, however few it uses. Counted by the CPUs alone,
+// machines without a free accelerator passed for a third empty. Where there are no
+// accelerators the two are the same.
+
+// On is what a task takes of a machine of the type, in its CPUs.
+func (n Need) On(t *wire.MachineType) float64 {
+	if t.GPUs <= 0 {
+		return n.CPUs
+	}
+	return max(n.CPUs, n.GPUs/t.GPUs*t.CPUs)
+}
+
+// Left is what room there is on a machine of the type, in its CPUs.
+func (n Need) Left(t *wire.MachineType) float64 {
+	if t.GPUs <= 0 {
+		return n.CPUs
+	}
+	return min(n.CPUs, n.GPUs/t.GPUs*t.CPUs)
+}
+
+// Measure works out what a task of the job takes of the type that suits it best. It
+// depends on the catalogue, without which it is the task's CPUs.
+func (j *Job) Measure(types []wire.MachineType) {
+	j.size = 0
+	for i := range types {
+		t := &types[i]
+		if s := j.Need().On(t); j.Allows(t, j.Spec.Zone, false) && (j.size == 0 || s < j.size) {
+			j.size = s
+		}
+	}
+}
+
+// Size is what a task of the job takes, in CPUs.
+func (j *Job) Size() float64 {
+	if j.size > 0 {
+		return j.size
+	}
+	return j.Spec.CPUs
+}
+
+// Whole is what the whole job takes at once, in CPUs.
+func (j *Job) Whole() float64 { return j.Size() * float64(len(j.Tasks)) }
+
+// Decay brings a team's use up to now: what it holds adds up, and the past
+// fades over the window.
+func (t *Team) Decay(now, window Micros) {
+	dt := now - t.UseAt
+	if dt <= 0 {
+		return
+	}
+	t.Use = t.Use*math.Exp(-float64(dt)/float64(window)) + t.Size*dt.Seconds()
+	t.UseAt = now
+}
