Bulky jobs book machines; what comes after them fills in only where it ends in time

Gangs, and tasks of more than half a machine, that are pressed or have waited a minute now book the machines that will have the room soonest by the expected ends; later work may use those if it ends before, or fits beside. Bookings go by the pass's order and are made anew each pass, so no two jobs wait for each other. Tests: with bookings taken out, gangs never begin.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -516,6 +516,7 @@
 		MaxTasks: c.maxTasks(), SpotLoss: c.spot.rate(), Due: c.judgeShares(now),
 	})
 	for _, pl := range out.Launch {
+		slog.Debug("placed", "task", pl.Task, "class", pl.Job.Spec.Class, "machine", pl.Machine.ID, "spot", pl.Machine.Spot, "delay", pl.Delay)
 		if c.up.level >= LevelTasks {
 			c.savePlace(pl)
 			continue
--- /dev/null
+++ b/internal/sched/booking_test.go
@@ -0,0 +1,118 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"lilacthread/internal/clock"
+	"lilacthread/wire"
+)
+
+var accelerated = []wire.MachineType{{Name: "g", CPUs: 48, GPUs: 4, MemoryGB: 192, CacheGB: 100, Boot: 45, Zones: []string{"a"}}}
+
+func onMachine(n int) *Machine {
+	return &Machine{ID: fmt.Sprintf("m-%06d", n), Type: &accelerated[0], Zone: "a", Up: true, Acked: true,
+		Places: map[string]*Placement{}, Images: map[string]Micros{"i": 1}, Sizes: map[string]float64{"i": 1}}
+}
+
+func accelerate(id, kind string, tasks int, gpus float64, ready, estimate Micros) *Job {
+	j := &Job{ID: id, Submitted: ready * clock.Second, Ready: ready * clock.Second, Start: ready * clock.Second,
+		Estimate: estimate * clock.Second, Deadline: clock.Forever, Tasks: make([]Task, tasks),
+		Spec: &wire.Job{ID: id, Kind: kind, Team: "t", Priority: "normal", Tasks: tasks, CPUs: 2 * gpus, GPUs: gpus, MemoryGB: 8, Image: "i"}}
+	j.Init()
+	j.Measure(accelerated)
+	for i := range j.Tasks {
+		j.Queue = append(j.Queue, int32(i))
+	}
+	return j
+}
+
+// world lets small tasks come for ever and end one after the other, with one pass a second.
+func whenBegun(t *testing.T, machines int, waiting []*Job, limit Micros) map[string]Micros {
+	t.Helper()
+	var fleet []*Machine
+	for i := range machines {
+		fleet = append(fleet, onMachine(i))
+	}
+	teams, attempts, begun := map[string]*Team{"t": {Name: "t"}}, uint64(0), map[string]Micros{}
+	var small []*Job
+	for now := clock.Second; now < limit; now += clock.Second {
+		for _, m := range fleet {
+			m.Heard = now
+			for _, p := range m.Places {
+				p.Running = max(p.Running, 1)
+				if p.SentAt == 0 {
+					p.SentAt, p.Running = now, now
+				}
+				if now-p.SentAt >= p.Job.Estimate {
+					p.Job.Tasks[p.Index].State = Done
+					p.Job.DoneCount++
+					p.Job.Ended = p.Job.DoneCount == len(p.Job.Tasks)
+					Detach(p, teams)
+				}
+			}
+		}
+		if n := int(now / clock.Second); n%2 == 0 {
+			small = append(small, accelerate(fmt.Sprintf("s-%04d", n), wire.KindArray, 3, 1, Micros(n), 7+Micros(n%5)))
+		}
+		jobs := slices.Clone(small)
+		for _, j := range waiting {
+			if j.Ready <= now {
+				jobs = append(jobs, j)
+			}
+		}
+		Plan(&Input{Now: now, Fresh: 60 * clock.Second, Jobs: jobs, Machines: fleet, Teams: teams, Rates: map[string]float64{"g": 1},
+			Attempt: func() uint64 { attempts++; return attempts }, MaxTasks: 100, Patience: 60 * clock.Second})
+		for _, j := range waiting {
+			if begun[j.ID] == 0 && j.Placed > 0 {
+				begun[j.ID] = now
+			}
+		}
+	}
+	return begun
+}
+
+// TestLargeJobsBegin guards against large work that never finds room: each accelerator
+// that is freed goes to a small task, of which more come than there is room for.
+func TestLargeJobsBegin(t *testing.T) {
+	gang := accelerate("gang", wire.KindGang, 4, 4, 20, 30)
+	whole := accelerate("whole", wire.KindArray, 1, 4, 20, 30)
+	second := accelerate("second", wire.KindGang, 4, 4, 21, 30)
+	begun := whenBegun(t, 4, []*Job{gang, whole, second}, 300*clock.Second)
+	for id, most := range map[string]Micros{"gang": 120, "whole": 180, "second": 240} {
+		if at := begun[id] / clock.Second; at == 0 || at > most {
+			t.Errorf("%s began at %d s, want at most %d", id, at, most)
+		}
+	}
+}
+
+// TestBackfill covers what may use a machine that is booked: work that ends in time, and
+// work that finds place beside it.
+func TestBackfill(t *testing.T) {
+	for name, c := range map[string]struct {
+		gpus, estimate Micros
+		placed         bool
+	}{
+		"ends before":   {1, 20, true},
+		"ends too late": {1, 90, false},
+	} {
+		m := onMachine(0)
+		running := accelerate("running", wire.KindArray, 1, 3, 0, 50)
+		large := accelerate("large", wire.KindGang, 1, 4, 0, 50)
+		late := accelerate("late", wire.KindArray, 1, float64(c.gpus), 99, c.estimate)
+		teams := map[string]*Team{"t": {Name: "t"}}
+		in := &Input{Now: 100 * clock.Second, Fresh: 60 * clock.Second, Jobs: []*Job{running}, Machines: []*Machine{m}, Teams: teams,
+			Rates: map[string]float64{"g": 1}, Attempt: func() uint64 { return 1 }, MaxTasks: 100}
+		m.Heard = in.Now
+		Plan(in)
+		for _, p := range m.Places {
+			p.Running, p.SentAt = in.Now, in.Now
+		}
+		in.Jobs = []*Job{large, late}
+		Plan(in)
+		if got := late.Placed == 1; got != c.placed || !large.Booked {
+			t.Errorf("%s: placed %v, booked %v", name, got, large.Booked)
+		}
+	}
+}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -64,8 +64,13 @@
 
 	Turn admit.Turn // under overload
 
-	size float64 // see Measure
-	boot Micros  // what the quickest machine that it may use takes to come
+	size  float64 // see Measure
+	boot  Micros  // what the quickest machine that it may use takes to come
+	large bool    // a task takes more than half of each machine
+
+	Booked bool  // machines keep room for it, see booking
+	at     []int // which
+	rank   int   // in the pass under way
 }
 
 // Task is one task of a job.
@@ -114,10 +119,11 @@
 	Priority int
 	Image    string
 
-	Committed bool // written ahead: a launch may be sent
-	InJob     bool // its job's records hold it, so that its machine's need not
-	Sent      bool // a launch may have been sent
-	Direct    bool // by an order that is not answered: only the session's end proves absence
+	Delay     float64 // seconds that the image was expected to take
+	Committed bool    // written ahead: a launch may be sent
+	InJob     bool    // its job's records hold it, so that its machine's need not
+	Sent      bool    // a launch may have been sent
+	Direct    bool    // by an order that is not answered: only the session's end proves absence
 	SentAt    Micros
 	Seen      bool // reported under our token
 	Inherited bool // from an earlier leader: an acknowledged report proves absence
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -214,6 +214,10 @@
 	room  []Need
 	share []float64 // of the CPUs that services hold
 
+	keeps  [][]booking // by machine
+	ends   [][]ending
+	booked int // tasks that room is kept for
+
 	round int // of those under overload: see placeShares
 
 	open  []int // the machines that jobs of this level may find room on
@@ -274,6 +278,7 @@
 			return p.out
 		}
 	}
+	p.rebook(jobs)
 	p.placeLevels(jobs)
 	return p.out
 }
@@ -322,6 +327,7 @@
 			cmp.Compare(rest[a], rest[b]),
 		)
 	})
+	p.rebook(jobs)
 	for _, p.round = range []int{belowFloor, belowShare, anyRoom} {
 		p.placeLevels(slices.DeleteFunc(slices.Clone(jobs), func(j *Job) bool { return len(j.Queue) == 0 || !p.entitled(j) }))
 	}
@@ -426,6 +432,7 @@
 	if !team.Allows(j.Need()) || !p.entitled(j) {
 		return
 	}
+	p.unbook(j)
 	held := j.Zones(nil)
 	p.warm = warm
 	p.scoreAll(j, "")
@@ -453,6 +460,7 @@
 		p.score(j, i)
 		p.rank(held, i)
 	}
+	p.book(j)
 	if n := len(j.Queue); n > 0 && !warm && p.last() {
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
 		if j.Priority > wire.PriorityLow && j.Priority < wire.PriorityProduction {
@@ -556,6 +564,9 @@
 	}
 	if p.allowed(j, m) {
 		delay := p.delay(j, m)
+		if p.barred(j, i, delay) {
+			return
+		}
 		if p.warm && delay >= j.Spec.ImageGB/p.Rates[m.Type.Name] {
 			return
 		}
@@ -816,7 +827,7 @@
 	pl := &Placement{
 		Job: j, Index: index, Task: wire.TaskID(j.ID, index), Attempt: attempt,
 		Machine: m, Session: m.Session, Need: j.Need(), Team: j.Spec.Team,
-		Priority: j.Priority, Image: j.Spec.Image,
+		Priority: j.Priority, Image: j.Spec.Image, Delay: p.delay(j, m),
 	}
 	Attach(pl, p.Teams)
 	p.count(pl, 1)
@@ -885,6 +896,7 @@
 	if !team.Allows(all) {
 		return
 	}
+	p.unbook(j)
 	zones := []string{""}
 	if j.Spec.OneZone {
 		zones = p.allZones()
@@ -899,6 +911,7 @@
 			return
 		}
 	}
+	p.book(j)
 	if p.last() && !warm {
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
 	}
--- a/internal/sched/size.go
+++ b/internal/sched/size.go
@@ -32,14 +32,14 @@
 // Measure works out what a task of the job takes of the type that suits it best. It
 // depends on the catalogue, without which it is the task's CPUs.
 func (j *Job) Measure(types []wire.MachineType) {
-	j.size, j.boot = 0, 0
+	j.size, j.boot, j.large = 0, 0, false
 	for i := range types {
 		t := &types[i]
 		if !j.Allows(t, j.Spec.Zone, false) {
 			continue
 		}
 		if s := j.Need().On(t); j.size == 0 || s < j.size {
-			j.size = s
+			j.size, j.large = s, s > t.CPUs/2+slack
 		}
 		if b := clock.FromSeconds(t.Boot); j.boot == 0 || b < j.boot {
 			j.boot = b
