Machines that come together share a record; machines are rented for refused submissions

Each machine's record was a change, so submissions took until 25 s, launches waited up to 9 s for theirs (245 unwritten at 56 s), and the lazy queue never got below 1,000. Half of the machines were rented only when jobs that had been told to come back were accepted.

Format level 3 keeps the machines of one rental, and their images, in one record (g/FIRST); own records of lower levels go when the group is written and the jobs hold the places. Refusals tell peers what the job will ask for; the leader rents for it meanwhile.

What is left: load of 90,000 CPUs by Little's law against 64,000 rented while 1,000 tasks wait.

--- a/internal/admit/purse.go
+++ b/internal/admit/purse.go
@@ -18,8 +18,8 @@
 	table  *Table
 	until  Micros // the table's end on this node's clock
 	seen   []arrival
-	told   memory   // jobs that were refused, here or at a peer
-	fresh  []uint32 // refused here since the last notice
+	told   memory // jobs that were refused, here or at a peer
+	fresh  []Told // refused here since the last notice
 	counts []Counts
 }
 
@@ -38,7 +38,7 @@
 // NewPurse makes the purse of a node.
 func NewPurse(book *Book, limits Limits) *Purse {
 	return &Purse{book: book, limits: limits, seen: make([]arrival, book.Len()), counts: make([]Counts, book.Len()),
-		told: memory{at: map[uint32]Micros{}}}
+		told: memory{at: map[uint32]*remembered{}}}
 }
 
 // SetLimits follows the state service's limits.
@@ -119,7 +119,7 @@
 }
 
 // Refused notes a submission that was told to come back.
-func (p *Purse) Refused(account, changes int, job string, now Micros) {
+func (p *Purse) Refused(account, changes int, job string, cpus float64, now Micros) {
 	if account < 0 {
 		return
 	}
@@ -127,25 +127,50 @@
 	a.fade(now)
 	a.refused += float64(changes)
 	p.counts[account].Refused++
-	if h := Hash(job); p.told.add(h, now) && len(p.fresh) < maxTold {
-		p.fresh = append(p.fresh, h)
+	t := Told{Hash(job), uint32(account), clip(int64(math.Ceil(min(cpus, math.MaxInt32))))}
+	if p.told.add(t, now) && len(p.fresh) < maxTold {
+		p.fresh = append(p.fresh, t)
 	}
 }
 
 // Returns reports whether a job was refused before, here or at a peer: it goes before
 // a newcomer of its account.
 func (p *Purse) Returns(job string, now Micros) bool {
-	at, ok := p.told.at[Hash(job)]
-	return ok && now-at < toldLife
+	r, ok := p.told.at[Hash(job)]
+	return ok && now-r.at < toldLife
 }
 
+// Accepted notes that a job, refused before or not, is accepted.
+func (p *Purse) Accepted(job string) {
+	if r := p.told.at[Hash(job)]; r != nil {
+		r.expected = false
+	}
+}
+
+// Expected is what the jobs of each account that were refused of late, here or at a peer,
+// will ask for when they come back, in CPUs. Machines take longer to come than the state
+// service to accept a burst: they may be rented for it meanwhile.
+func (p *Purse) Expected(now Micros) []float64 {
+	sums := make([]float64, p.book.Len())
+	for _, h := range p.told.order {
+		if r := p.told.at[h]; r.expected && now-r.at < expectedLife && int(r.account) < len(sums) {
+			sums[r.account] += float64(r.cpus)
+		}
+	}
+	return sums
+}
+
+// expectedLife is how long a refused job is waited for: nobody is told to come back later
+// than MaxSlots seconds on.
+const expectedLife = (MaxSlots + 4) * clock.Second
+
 // Told takes in whom a peer refused.
 func (p *Purse) Told(n *Notice, now Micros) {
 	if n == nil || n.Digest != p.book.Digest {
 		return
 	}
-	for _, h := range n.Told {
-		p.told.add(h, now)
+	for _, t := range n.Told {
+		p.told.add(t, now)
 	}
 }
 
@@ -169,26 +194,33 @@
 
 // memory holds hashes of jobs for a while, a bounded number of them.
 type memory struct {
-	at    map[uint32]Micros
+	at    map[uint32]*remembered
 	order []uint32
 }
 
+type remembered struct {
+	at       Micros
+	account  uint32
+	cpus     uint32
+	expected bool // not accepted yet, as far as this node knows
+}
+
 const (
 	maxMemory = 8192
 	toldLife  = 60 * clock.Second // no user tries for longer
 )
 
 // add reports whether the hash is new.
-func (m *memory) add(h uint32, now Micros) bool {
-	if _, ok := m.at[h]; ok {
+func (m *memory) add(t Told, now Micros) bool {
+	if _, ok := m.at[t.Hash]; ok {
 		return false
 	}
-	for len(m.order) > 0 && (len(m.order) >= maxMemory || now-m.at[m.order[0]] >= toldLife) {
+	for len(m.order) > 0 && (len(m.order) >= maxMemory || now-m.at[m.order[0]].at >= toldLife) {
 		delete(m.at, m.order[0])
 		m.order = m.order[1:]
 	}
-	m.at[h] = now
-	m.order = append(m.order, h)
+	m.at[t.Hash] = &remembered{now, t.Account, t.CPUs, true}
+	m.order = append(m.order, t.Hash)
 	if cap(m.order) > 4*maxMemory {
 		m.order = slices.Clone(m.order)
 	}
--- a/internal/admit/table.go
+++ b/internal/admit/table.go
@@ -70,7 +70,14 @@
 type Notice struct {
 	Digest   uint32
 	Accounts []Arrivals
-	Told     []uint32 // hashes of the jobs that it refused since the last notice
+	Told     []Told // the jobs that it refused since the last notice
+}
+
+// Told is a job that was refused: its users were told when to come back.
+type Told struct {
+	Hash    uint32
+	Account uint32
+	CPUs    uint32 // that it will ask for, by the dominant resource
 }
 
 // Limits are the nodes' claims on the state service's changes for submissions.
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -176,12 +177,31 @@
 	return c.writes.Rate()
 }
 
+// noteRefused remembers a job that was told to come back.
+func (c *Core) noteRefused(account int, job *wire.Job) {
+	j := &sched.Job{Spec: job}
+	j.Measure(c.catalog)
+	c.purse.Refused(account, 1, job.ID, j.Size()*float64(job.Tasks), c.env.Now())
+}
+
+// expected is what refused jobs will ask for when they come back, each account's like the
+// job of its class that came last.
+func (c *Core) expected(now Micros) []sched.Unplaced {
+	var out []sched.Unplaced
+	for a, cpus := range c.purse.Expected(now) {
+		if arr := c.arrivals[c.book.Accounts[a].Class]; cpus > 0 && arr != nil && arr.last != nil {
+			out = append(out, sched.Unplaced{Job: arr.last, Count: int(math.Ceil(cpus / arr.last.Size()))})
+		}
+	}
+	return out
+}
+
 // turnAway refuses a submission, unless the job is known: what was accepted is never
 // refused. Only memory is asked, here or at the leader: under overload the state
 // service's requests are needed for what it can do about it.
 func (c *Core) turnAway(job *wire.Job, account, wait int, reply func(Answer)) {
 	refuse := func() {
-		c.purse.Refused(account, 1, job.ID, c.env.Now())
+		c.noteRefused(account, job)
 		reply(Answer{Code: 429, RetryAfter: wait})
 	}
 	if a, ok := c.remembered(job.ID); ok {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -103,7 +103,8 @@
 	finals      map[string]finalRecord
 	finalsOrder []string
 	machines    map[string]*sched.Machine
-	order       []*sched.Machine // machines by name
+	order       []*sched.Machine  // machines by name
+	groups      map[string]*group // of each machine
 	released    map[string]bool
 	teams       map[string]*sched.Team
 	rates       map[string]float64
@@ -149,19 +150,20 @@
 	since Micros // first arrival
 	batch bool
 	job   *sched.Job // the latest service
+	last  *sched.Job // the latest job of any kind
 }
 
 // New makes a controller that speaks all format levels. Start must be called on
 // the owner goroutine.
 func New(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64) *Core {
-	return NewAt(env, cfg, pol, incarnation, LevelTasks)
+	return NewAt(env, cfg, pol, incarnation, Highest)
 }
 
 // NewAt makes a controller that speaks no higher format level than the given one,
 // as one of version 0.1 does.
 func NewAt(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64, speaks int) *Core {
 	c := &Core{env: env, cfg: cfg, pol: pol, accepted: map[string]bool{}, levelsRead: -clock.Forever,
-		up:    upgrade{speaks: speaks, level: LevelPlaces, peers: map[string]bool{}},
+		up:    upgrade{speaks: speaks, level: LevelPlaces, peers: map[string]int{}},
 		peers: map[string]*peerInfo{}, strays: map[string]Micros{}, book: book(cfg)}
 	c.served = c.newServed()
 	c.purse = admit.NewPurse(c.book, c.submitLimits())
@@ -353,7 +355,7 @@
 	c.reading = map[string][]*sched.Job{}
 	c.finalsOrder = nil
 	c.machines = map[string]*sched.Machine{}
-	c.order = nil
+	c.order, c.groups = nil, map[string]*group{}
 	c.released = map[string]bool{}
 	c.teams = map[string]*sched.Team{}
 	for _, t := range c.cfg.Params.Teams {
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -26,6 +26,10 @@
 	// LevelTasks keeps both in records of a job's tasks, small enough for the
 	// next limits of the state service.
 	LevelTasks = 2
+	// LevelGroups keeps machines that came together in one record.
+	LevelGroups = 3
+	// Highest is what this version speaks.
+	Highest = LevelGroups
 )
 
 // Keys of the upgrade, which version 0.1 neither reads nor writes.
@@ -41,11 +45,11 @@
 
 // upgrade is what a node knows of the format levels.
 type upgrade struct {
-	speaks  int             // what this process reads and writes at most
-	level   int             // in force
-	peers   map[string]bool // nodes known to speak our level
-	raising bool            // the record of the new level is on its way
-	told    bool            // the state service has this node's announcement
+	speaks  int            // what this process reads and writes at most
+	level   int            // in force
+	peers   map[string]int // what the nodes are known to speak
+	raising bool           // the record of the new level is on its way
+	told    bool           // the state service has this node's announcement
 }
 
 // limits are those of the state service in force: the present ones until the
@@ -92,11 +96,9 @@
 	if c.up.speaks < LevelTasks {
 		return
 	}
-	if speaks >= LevelTasks {
-		c.up.peers[node] = true
-	}
-	if level > c.up.level {
-		c.raise("another node says so")
+	c.up.peers[node] = max(c.up.peers[node], speaks)
+	if level = min(level, c.up.speaks); level > c.up.level {
+		c.raise(level, "another node says so")
 	}
 }
 
@@ -132,33 +134,37 @@
 // tendLevel has the leader raise the level once every node speaks it. The level
 // is recorded first, and used after.
 func (c *Core) tendLevel(now Micros) {
-	if c.up.level >= LevelTasks || c.up.speaks < LevelTasks || c.up.raising {
+	if c.up.level >= c.up.speaks || c.up.raising {
 		return
 	}
+	all := c.up.speaks
 	for name := range c.peers {
-		if !c.up.peers[name] {
-			if now-c.levelsRead > 2*clock.Second {
-				c.levelsRead = now
-				c.readLevels(func(bool) {})
-			}
-			return
-		}
+		all = min(all, c.up.peers[name])
+	}
+	if all < c.up.speaks && now-c.levelsRead > 2*clock.Second {
+		c.levelsRead = now
+		c.readLevels(func(bool) {})
+	}
+	if all > c.up.level {
+		c.recordLevel(all, func() { c.raise(all, "every node speaks it") })
 	}
-	c.recordLevel(func() { c.raise("every node speaks it") })
 }
 
-// recordLevel writes the next level for good.
-func (c *Core) recordLevel(then func()) {
+// recordLevel writes a level for good.
+func (c *Core) recordLevel(level int, then func()) {
 	c.up.raising = true
-	c.commit.put(levelKey, func() []byte { return wire.Encode(&levelRecord{LevelTasks}) }, c.during(then))
+	c.commit.put(levelKey, func() []byte { return wire.Encode(&levelRecord{max(level, c.up.level)}) }, c.during(func() {
+		c.up.raising = false
+		then()
+	}))
 }
 
-// raise begins to write the new level and to keep the next limits.
-func (c *Core) raise(why string) {
-	if c.up.level >= LevelTasks {
+// raise begins to write a new level and to keep the next limits.
+func (c *Core) raise(level int, why string) {
+	if c.up.level >= level {
 		return
 	}
-	c.up.level = LevelTasks
+	c.up.level = level
 	slog.Info("format level raised", "level", c.up.level, "why", why)
 	c.setWriteShare()
 	c.reads.Set(stdTime(c.env.Now()), c.limits().RPS*readShare)
@@ -180,7 +186,17 @@
 				c.savePlace(p)
 			}
 		}
-		c.saveMachine(m, nil)
+		if c.up.level < LevelGroups {
+			c.saveMachine(m, nil)
+		}
+	}
+	if c.up.level >= LevelGroups {
+		c.groupAll(c.order)
+		for _, m := range c.order {
+			if m.Own {
+				c.saveMachine(m, nil)
+			}
+		}
 	}
 }
 
@@ -196,9 +212,9 @@
 	if !over || c.up.level >= LevelTasks || c.up.speaks < LevelTasks {
 		return false
 	}
-	c.raise("the state service has its next limits")
+	c.raise(LevelTasks, "the state service has its next limits")
 	if c.lead.Leading() && c.loaded {
-		c.recordLevel(func() {})
+		c.recordLevel(LevelTasks, func() {})
 	}
 	return true
 }
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -458,7 +458,9 @@
 	if now < c.cloudPause || now-c.electedAt < clock.Second {
 		return
 	}
-	for _, b := range fleet.Plan(c.fleetInput(now)) {
+	in := c.fleetInput(now)
+	in.Unplaced = append(slices.Clone(in.Unplaced), c.expected(now)...)
+	for _, b := range fleet.Plan(in) {
 		if !c.calls.AllowN(stdTime(now), 1) {
 			return
 		}
@@ -482,13 +484,15 @@
 		switch o {
 		case store.OK:
 			slog.Debug("rented", "kind", kind, "asked", r.Count, "got", len(ids))
+			var rented []*sched.Machine
 			for _, id := range ids {
 				if c.machines[id] == nil && !c.released[id] {
 					if m := c.addMachine(id, "", r.Type, r.Zone, r.Spot, since); m != nil {
-						c.saveMachine(m, nil)
+						rented = append(rented, m)
 					}
 				}
 			}
+			c.saveNew(rented)
 			c.sortMachines()
 			if len(ids) < r.Count {
 				c.refused[kind] = now + c.pol.Refused
@@ -535,15 +539,15 @@
 			again(2*clock.Second, "")
 			return
 		}
-		now, added := c.env.Now(), false
+		now := c.env.Now()
+		var found []*sched.Machine
 		for i := range l.Machines {
 			e := &l.Machines[i]
 			named[e.ID] = true
 			m := c.machines[e.ID]
 			if m == nil && !c.released[e.ID] {
 				if m = c.addMachine(e.ID, e.Addr, e.Type, e.Zone, e.Spot, now-clock.FromSeconds(e.Age)); m != nil {
-					added = true
-					c.saveMachine(m, nil)
+					found = append(found, m)
 					slog.Info("machine found in the list", "machine", e.ID)
 				}
 			}
@@ -551,7 +555,8 @@
 				m.Failed = true
 			}
 		}
-		if added {
+		if len(found) > 0 {
+			c.groupAll(found)
 			c.sortMachines()
 		}
 		if l.More && len(l.Machines) > 0 {
@@ -597,7 +602,8 @@
 	for _, u := range c.unplaced {
 		waiting += u.Count
 	}
+	in := c.fleetInput(c.env.Now())
 	slog.Debug("fleet", "ordinary", fmt.Sprintf("%+v", *sums[false]), "spot", fmt.Sprintf("%+v", *sums[true]),
-		"waiting", waiting, "room", c.batchRoom(), "headroom", c.fleetInput(c.env.Now()).Headroom,
+		"waiting", waiting, "room", c.batchRoom(), "headroom", in.Headroom, "load", in.Load,
 		"unwritten", fmt.Sprint(len(c.commit.queue), "+", len(c.commit.soon), "+", len(c.commit.lazy)), "oldest", c.commit.age().Seconds())
 }
--- a/internal/controller/passing.go
+++ b/internal/controller/passing.go
@@ -67,7 +67,7 @@
 		case 200, 201:
 			c.purse.Took(account, a.Code == 200)
 		case 429:
-			c.purse.Refused(account, 1, job.ID, c.env.Now())
+			c.noteRefused(account, job)
 		}
 		if a.Code >= 429 { // it has enough to do, or is gone
 			c.pass.until = c.env.Now() + passPause
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -106,6 +106,10 @@
 	if done != nil {
 		class = atOnce
 	}
+	if c.up.level >= LevelGroups {
+		c.saveInGroup(m, class, done)
+		return
+	}
 	key := machinePrefix + m.ID
 	c.commit.add(key, class, func() ([]wire.Change, bool) {
 		if c.machines[m.ID] != m {
@@ -139,7 +143,7 @@
 		}
 		return []wire.Change{{Put: key, Value: value}}, true
 	}, c.during(func() {
-		m.Recorded = true
+		m.Recorded, m.Own = true, true
 		if done != nil {
 			done()
 		}
@@ -253,7 +257,7 @@
 func (c *Core) load(term uint64) {
 	still := func() bool { return c.lead.Leading() && c.term == term }
 	progress := map[string]*progressRecord{}
-	var machines, tasks []wire.Item
+	var groups, machines, tasks []wire.Item
 	var since uint64
 	finish := func() {
 		for id, p := range progress {
@@ -268,6 +272,9 @@
 		for i := range machines {
 			c.restoreMachine(&machines[i])
 		}
+		for i := range groups {
+			c.restoreGroup(&groups[i])
+		}
 		for _, r := range records {
 			c.restorePlaces(r)
 		}
@@ -300,16 +307,20 @@
 			c.addRecords(items, progress)
 			read(taskPrefix, func(items []wire.Item, _ uint64) {
 				tasks = items
+				// A machine's own record goes after its group's is written, so own records first.
 				read(machinePrefix, func(items []wire.Item, _ uint64) {
 					machines = items
-					c.env.State().Get(learntKey, func(o store.Outcome, it *wire.Item) {
-						if !still() {
-							return
-						}
-						if o == store.OK {
-							c.restoreLearnt(it.Value)
-						}
-						c.withCatalog(still, finish)
+					read(groupPrefix, func(items []wire.Item, _ uint64) {
+						groups = items
+						c.env.State().Get(learntKey, func(o store.Outcome, it *wire.Item) {
+							if !still() {
+								return
+							}
+							if o == store.OK {
+								c.restoreLearnt(it.Value)
+							}
+							c.withCatalog(still, finish)
+						})
 					})
 				})
 			})
@@ -445,6 +456,7 @@
 	}
 	j.Init()
 	j.Measure(c.catalog)
+	c.purse.Accepted(j.ID)
 	c.jobs[j.ID] = j
 	if len(spec.Awaits) == 0 {
 		c.setReady(j, j.Submitted)
@@ -530,7 +542,7 @@
 			m.Touch(image, rec.Sizes[i], c.env.Now())
 		}
 	}
-	m.Recorded = true
+	m.Recorded, m.Own = true, true
 	for _, r := range rec.Places {
 		if jobID, index, ok := wire.SplitTask(r.Task); ok {
 			c.restorePlace(c.jobs[jobID], &sched.Placement{Index: index, Task: r.Task, Attempt: r.Attempt, Machine: m,
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -568,6 +568,7 @@
 		a = &arrival{at: now, since: now}
 		c.arrivals[j.Spec.Class] = a
 	}
+	a.last = j
 	asked := j.Whole()
 	if j.Service() {
 		a.job = j
--- a/internal/peer/admission.go
+++ b/internal/peer/admission.go
@@ -19,13 +19,19 @@
 	accounts := b.EndVector(len(n.Accounts))
 	fb.NoticeStartToldVector(b, len(n.Told))
 	for i := len(n.Told) - 1; i >= 0; i-- {
-		b.PrependUint32(n.Told[i])
+		b.PrependUint32(n.Told[i].Hash)
 	}
 	told := b.EndVector(len(n.Told))
+	fb.NoticeStartAsksVector(b, len(n.Told))
+	for i := len(n.Told) - 1; i >= 0; i-- {
+		fb.CreateAsk(b, n.Told[i].Account, n.Told[i].CPUs)
+	}
+	asks := b.EndVector(len(n.Told))
 	fb.NoticeStart(b)
 	fb.NoticeAddDigest(b, n.Digest)
 	fb.NoticeAddAccounts(b, accounts)
 	fb.NoticeAddTold(b, told)
+	fb.NoticeAddAsks(b, asks)
 	return fb.NoticeEnd(b)
 }
 
@@ -39,8 +45,14 @@
 		t.Accounts(&a, i)
 		n.Accounts[i] = admit.Arrivals{Rate: a.Rate(), Queued: a.Queued(), Refused: a.Refused()}
 	}
+	var ask fb.Ask
 	for i := range bounded(t.ToldLength()) {
-		n.Told = append(n.Told, t.Told(i))
+		told := admit.Told{Hash: t.Told(i)}
+		if i < t.AsksLength() { // versions before this one say nothing of it
+			t.Asks(&ask, i)
+			told.Account, told.CPUs = ask.Account(), ask.Cpus()
+		}
+		n.Told = append(n.Told, told)
 	}
 	return n
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -166,6 +166,8 @@
 	AvoidTill Micros
 	IdleSince Micros
 	Recorded  bool // the state service has its record
+	Grouped   bool // with others, in a record that they share
+	Own       bool // and it may have one of its own
 	Draining  bool
 	Retiring  bool // takes no new tasks, so as to empty and be returned
 	Releasing bool
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -211,7 +211,7 @@
 		}
 	}
 	e := &env{n: n, life: n.life}
-	level := controller.LevelTasks
+	level := controller.Highest
 	if n.old {
 		level = controller.LevelPlaces
 	}
--- a/wire/fb/Notice.go
+++ b/wire/fb/Notice.go
@@ -90,8 +90,27 @@
 	return false
 }
 
+func (rcv *Notice) Asks(obj *Ask, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 8
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Notice) AsksLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func NoticeStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(4)
 }
 func NoticeAddDigest(builder *flatbuffers.Builder, digest uint32) {
 	builder.PrependUint32Slot(0, digest, 0)
@@ -108,6 +127,12 @@
 func NoticeStartToldVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func NoticeAddAsks(builder *flatbuffers.Builder, asks flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(asks), 0)
+}
+func NoticeStartAsksVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(8, numElems, 4)
+}
 func NoticeEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
