Machines are rented up to Little's law while work waits that can't wait for a boot

Now, while a job waits whose users want it started before a machine rented for it would come, the fleet is rented up to that at once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -177,6 +177,7 @@
 		b.demand(u)
 	}
 	b.headroom()
+	b.ahead()
 	var out []Buy
 	for k, n := range b.bought {
 		out = append(out, Buy{k, min(n, 50)})
@@ -387,6 +388,26 @@
 	}
 }
 
+// ahead rents what arriving work is going to need anyway while work waits that wants to
+// start before a machine rented for it would come: what arrives until then would wait as
+// long. By Little's law the machines for it are known.
+func (b *buyer) ahead() {
+	i := slices.IndexFunc(b.Unplaced, func(u sched.Unplaced) bool { return !u.Job.Service() && u.Job.Prompt(b.Now) })
+	if i < 0 {
+		return
+	}
+	j := b.Unplaced[i].Job
+	for b.supply < b.Load {
+		b.left = b.Load - b.supply
+		k, ok := b.pick(j, j.Need(), j.Zones(nil), clock.Forever)
+		if !ok {
+			return
+		}
+		b.bought[k]++
+		b.supply += b.typ(k.Type).CPUs
+	}
+}
+
 // Spare is the room on ordinary machines in use that services could take at
 // once.
 func (in *Input) Spare() float64 {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,3 +27,30 @@
 		t.Errorf("rents %v, want one ordinary machine", buys)
 	}
 }
+
+// TestRentsAhead guards against an opening that is always a boot behind: while work waits
+// that wants to start before a machine rented for it would come, what arriving work needs
+// by Little's law is rented at once. Services that wait don't hide it.
+func TestRentsAhead(t *testing.T) {
+	catalog := []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, Price: 1, SpotPrice: 0.2, Boot: 50, Zones: []string{"a"}}}
+	gang := &sched.Job{ID: "g", Ready: clock.Second, Starts: []sched.Micros{26 * clock.Second}, StartBy: 26 * clock.Second, Deadline: clock.Forever,
+		Estimate: 60 * clock.Second, Spec: &wire.Job{Kind: wire.KindGang, CPUs: 8, MemoryGB: 4, Tasks: 2, Spot: true}, Tasks: make([]sched.Task, 2)}
+	service := &sched.Job{ID: "s", Priority: wire.PriorityProduction, Ready: clock.Second, Starts: []sched.Micros{5 * clock.Second}, StartBy: 5 * clock.Second,
+		Deadline: clock.Forever, Spec: &wire.Job{Kind: wire.KindService, CPUs: 2, MemoryGB: 2, Tasks: 1}, Tasks: make([]sched.Task, 1)}
+	for _, j := range []*sched.Job{gang, service} {
+		j.Measure(catalog)
+	}
+	count := func(unplaced ...sched.Unplaced) int {
+		n := 0
+		for _, buy := range Plan(&Input{Now: clock.Second, Catalog: catalog, Refused: map[Kind]sched.Micros{}, Load: 160, Unplaced: unplaced}) {
+			n += buy.Count
+		}
+		return n
+	}
+	if n := count(sched.Unplaced{Job: service, Count: 1}, sched.Unplaced{Job: gang, Count: 2}); n < 10 {
+		t.Errorf("rents %d machines, want 10 for the load", n)
+	}
+	if n := count(sched.Unplaced{Job: service, Count: 1}); n > 1 {
+		t.Errorf("rents %d machines for a service alone", n)
+	}
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -156,7 +156,7 @@
 	if j.Priority >= wire.PriorityProduction || wire.PriorityOf(j.Spec.Priority) >= wire.PriorityHigh && !j.patient(now) {
 		return first
 	}
-	if j.prompt(now) {
+	if j.Prompt(now) {
 		return pressed
 	}
 	slack := j.Slack(now)
@@ -166,10 +166,10 @@
 	return relaxed
 }
 
-// prompt reports whether the job's users want it started before a machine that is
+// Prompt reports whether the job's users want it started before a machine that is
 // rented for it could have come. Nothing but room at hand helps it, so it is pressed from
 // the first moment on; and also for a while after that, as long as it has not begun.
-func (j *Job) prompt(now Micros) bool {
+func (j *Job) Prompt(now Micros) bool {
 	return len(j.Starts) > 0 && j.Starts[0]-j.Ready < j.boot && !j.begun() && now-j.Ready <= longest*(j.StartBy-j.Ready)
 }
 
