Deaf machines, late copies, cut-off leaders, machines started anew, quick elections

A package of its own (internal/hearing) judges by signs whether a machine hears; a deaf one gets no work, is asked for a proof, and returned when its lease must have ended. A leader without state service and peers sends each worker away once, is not ready.

A worker's token never falls, a report under a token older than a placement's proves nothing of it, and such a machine is returned.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -105,6 +105,7 @@
 	machines    map[string]*sched.Machine
 	order       []*sched.Machine  // machines by name
 	groups      map[string]*group // of each machine
+	formed      uint64            // groups, in this term
 	released    map[string]bool
 	teams       map[string]*sched.Team
 	rates       map[string]float64
@@ -237,14 +238,37 @@
 	if c.stateOK() {
 		return true
 	}
+	heard := false
 	for _, p := range c.peers {
-		if p.stateOK && c.env.Now()-p.at < 3*clock.Second {
+		if c.env.Now()-p.at < 3*clock.Second {
+			heard = true
+			if p.stateOK {
+				return false
+			}
+		}
+	}
+	// Who reaches neither the state service nor a peer is more likely cut off himself.
+	return heard || len(c.peers) == 0
+}
+
+// cutOff reports whether this leader has lost the state service, so that its lead is over,
+// and all its peers as well, so that none of them can say who succeeded it. An outage of
+// the state service alone leaves the peers.
+func (c *Core) cutOff(now Micros) bool {
+	if len(c.peers) == 0 || now < c.lead.Deadline()+successorTime {
+		return false
+	}
+	for _, p := range c.peers {
+		if now-p.at < 5*clock.Second/2 {
 			return false
 		}
 	}
 	return true
 }
 
+// successorTime is about what an election takes once a lease has ended.
+const successorTime = clock.Second
+
 func (c *Core) stateOK() bool { return c.env.Now()-c.stateSeen < 2500*clock.Millisecond }
 
 // hello tells the peers how this node fares, and probes the state service when
@@ -356,6 +380,7 @@
 	c.finalsOrder = nil
 	c.machines = map[string]*sched.Machine{}
 	c.order, c.groups = nil, map[string]*group{}
+	c.formed = 0
 	c.released = map[string]bool{}
 	c.teams = map[string]*sched.Team{}
 	for _, t := range c.cfg.Params.Teams {
@@ -439,6 +464,7 @@
 	c.tendLevel(now)
 	if c.Serving() {
 		c.tendMachines(now)
+		c.tendEars(now)
 		c.sendOrders()
 		c.wake()
 	}
--- /dev/null
+++ b/internal/controller/ears.go
@@ -0,0 +1,93 @@
+package controller
+
+import (
+	"log/slog"
+
+	"lilacthread/internal/clock"
+	"lilacthread/internal/hearing"
+	"lilacthread/internal/sched"
+	"lilacthread/internal/store"
+	"lilacthread/wire"
+)
+
+// sign notes that a machine showed something that contradicts what it was told.
+func (c *Core) sign(m *sched.Machine, s hearing.Sign, now Micros) {
+	if !m.Ear.See(s, now, c.cfg.ReportEvery()/2) {
+		return
+	}
+	slog.Info("machine does not hear", "machine", m.ID, "tasks", len(m.Places))
+	// What was never sent goes elsewhere at once. The rest stays until its absence is
+	// proven, by a report that lacks it or by the end of the session.
+	for _, p := range places(m) {
+		if !p.Sent {
+			c.leave(p)
+		}
+	}
+	c.wake()
+}
+
+// lateRenewal is the least time before the end of a lease at which a renewal surely
+// belongs to the session before.
+const lateRenewal = responseLife + clock.Second
+
+// renewedInVain reports whether a worker that begins a new session had its reports
+// answered so lately that it can't have heard that.
+func (c *Core) renewedInVain(m *sched.Machine, now Micros) bool {
+	return m.Acked && now-m.Answered < c.cfg.WorkerLease()-lateRenewal-c.margin()
+}
+
+// tendEars asks machines for a proof that they hear.
+func (c *Core) tendEars(now Micros) {
+	for _, m := range c.order {
+		if c.mayOrder(m) && m.Ear.Ask(now) {
+			c.question(m, func(ok bool, _ *wire.Report) { m.Ear.Answered(ok) })
+		}
+	}
+}
+
+// mayOrder reports whether an order may be sent to the machine now.
+func (c *Core) mayOrder(m *sched.Machine) bool {
+	return !m.Ordering && c.ordering < c.cfg.OrderLimit() && c.Serving() && c.machines[m.ID] == m && !m.Releasing && m.Addr != ""
+}
+
+// question sends an order without commands: whoever answers hears.
+func (c *Core) question(m *sched.Machine, done func(ok bool, r *wire.Report)) {
+	c.ordering++
+	m.Ordering = true
+	term := c.term
+	c.env.Order(m.Addr, &wire.Orders{Token: term, Session: m.Session, Commands: []wire.Command{}}, func(o store.Outcome, r *wire.Report) {
+		if !c.lead.Leading() || c.term != term {
+			return
+		}
+		c.ordering--
+		m.Ordering = false
+		if c.machines[m.ID] == m {
+			done((o == store.OK || o == store.Failed) && r != nil && r.Machine == m.ID, r)
+		}
+	})
+}
+
+// older deals with a report that is older than what is known of its machine. Mostly it is
+// a late copy, and changes nothing. But if nothing newer has come for longer than a worker
+// is ever silent, the machine may have been started anew and count from the beginning: it
+// is asked itself, since no report can tell the two apart.
+func (c *Core) older(m *sched.Machine, r *wire.Report, now Micros) {
+	if now-m.Heard < 3*c.cfg.ReportEvery()/2 || now-m.Doubted < c.cfg.ReportEvery() || !c.mayOrder(m) {
+		return
+	}
+	m.Doubted = now
+	c.question(m, func(ok bool, a *wire.Report) {
+		if ok && a.Token <= c.term && (a.Session < m.Session || a.Session == m.Session && a.Seq < m.Seq) {
+			c.startedAnew(m, a)
+		}
+	})
+}
+
+// startedAnew has a machine returned that began again under its name. What it counts now
+// can't be told from late copies of what it counted before: one of those, newer by its
+// numbers, would prove tasks absent that run (found by chaos with copies and machines
+// started anew together). Its tasks ended with it; the release proves that.
+func (c *Core) startedAnew(m *sched.Machine, a *wire.Report) {
+	slog.Info("machine was started anew", "machine", m.ID, "session", a.Session, "was", m.Session, "tasks", len(m.Places))
+	m.Anew, m.Draining = true, true
+}
--- a/internal/controller/groups.go
+++ b/internal/controller/groups.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"log/slog"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,8 +14,8 @@
 	"lilacthread/wire"
 )
 
-// From LevelGroups on, machines that came together share a record, g/FIRST, named after
-// the first of them: what they are is the same, and which images each has takes a few
+// From LevelGroups on, machines that came together share a record, g/TERM-NUMBER: what
+// they are is the same, and which images each has takes a few
 // bytes. A fleet of 1,800 machines then costs some forty changes as it is rented, not as
 // many as it has machines, which at 50 changes a second kept launches and submissions
 // waiting for half a minute. A machine that has left is left out when its group is next
@@ -52,7 +53,10 @@
 		return
 	}
 	for part := range slices.Chunk(machines, groupSize(c.limits().ValueBytes())) {
-		g := &group{key: groupPrefix + part[0].ID, members: slices.Clone(part)}
+		// A name of its own: a machine that was returned may appear once more, and the group
+		// that was named after it would be written over. Found by chaos with late copies.
+		c.formed++
+		g := &group{key: groupPrefix + strconv.FormatUint(c.term, 10) + "-" + strconv.FormatUint(c.formed, 10), members: slices.Clone(part)}
 		for _, m := range part {
 			c.groups[m.ID] = g
 		}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -151,7 +151,7 @@
 	}
 	m := &sched.Machine{ID: id, Addr: addr, Type: t, Zone: zone, Spot: spot, Since: since, Known: c.env.Now(),
 		Places: map[string]*sched.Placement{}, Images: map[string]Micros{}, Sizes: map[string]float64{},
-		IdleSince: c.env.Now(), Heard: -clock.Forever}
+		IdleSince: c.env.Now(), Heard: -clock.Forever, Away: -clock.Forever}
 	c.machines[id] = m
 	return m
 }
@@ -167,7 +167,7 @@
 // tendMachines returns the machines that are of no use: idle, silent, failed,
 // drained, or never up.
 func (c *Core) tendMachines(now Micros) {
-	up, silent, spot := 0, 0, 0
+	up, silent, deaf, spot := 0, 0, 0, 0
 	quiet := Micros(c.pol.SilentReports * float64(c.cfg.ReportEvery()))
 	// After a takeover no machine has reported yet, and none is late for that:
 	// a new leader that judged by silence alone would return the whole fleet.
@@ -181,6 +181,9 @@
 			if now-m.Heard > quiet {
 				silent++
 			}
+			if m.Ear.Deaf {
+				deaf++
+			}
 		}
 	}
 	c.spot.observe(spot, now)
@@ -199,6 +202,8 @@
 		switch {
 		case m.Failed:
 			why = "failed"
+		case m.Anew:
+			why = "started anew"
 		case m.Unlisted && now-m.Heard > 3*c.cfg.ReportEvery()/2:
 			// Taken by the cloud, or returned by a leader whose own record of that was
 			// lost with it: returning it again proves that all on it is gone.
@@ -211,6 +216,9 @@
 			why = "silent"
 		case m.Up && now-m.Heard > c.cfg.WorkerLease()+c.margin() && settled && !m.Busy():
 			why = "silent and empty"
+		case m.Ear.Hopeless(now, c.cfg.WorkerLease()) && (deaf*4 <= up || deaf == 1):
+			// As with silent ones: many at once are more likely a fault of ours.
+			why = "deaf"
 		case !m.Acked && m.Busy() && settled:
 			why = "does not acknowledge this term"
 		case loose:
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -28,8 +28,7 @@
 
 func (c *Core) sendOrder(m *sched.Machine) {
 	now := c.env.Now()
-	if m.Ordering || c.ordering >= c.cfg.OrderLimit() || !c.Serving() || c.machines[m.ID] != m ||
-		!m.Acked || m.Releasing || m.Addr == "" || now-m.Heard > c.fresh() {
+	if !c.mayOrder(m) || !m.Acked || m.Ear.Deaf || now-m.Heard > c.fresh() {
 		return
 	}
 	stop, start := c.commands(m, places(m), now, true)
@@ -50,9 +49,13 @@
 			return // all that was on it has left
 		}
 		if o == store.Unknown {
+			m.LostOrder = true
 			slog.Info("order without an answer", "machine", m.ID, "launches", len(start))
 			return
 		}
+		if o != store.Refused {
+			m.Ear.Proof()
+		}
 		for _, cmd := range start {
 			if p := m.Places[cmd.Task]; p != nil && p.Attempt == cmd.Attempt && p.Direct {
 				p.Direct = false
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"lilacthread/internal/clock"
+	"lilacthread/internal/hearing"
 	"lilacthread/internal/sched"
 	"lilacthread/wire"
 )
@@ -33,9 +34,9 @@
 	if !c.keeping() {
 		return ReportAnswer{Code: 503}
 	}
-	c.lastReport = now
 	renew := ReportAnswer{Code: 200, Body: wire.ReportAnswer{Token: c.term, Commands: []wire.Command{}}}
 	if !c.loaded {
+		c.lastReport = now
 		return renew // keeps the worker's tasks alive while the records are read
 	}
 	if c.released[r.Machine] {
@@ -51,9 +52,20 @@
 		c.saveMachine(m, nil)
 		slog.Info("machine appeared", "machine", m.ID)
 	}
-	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq {
+	// A worker's token never falls: what is under an older one than it has acknowledged was
+	// written before, whatever its numbers say.
+	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.Seq || m.Acked && r.Token < c.term {
+		c.older(m, r, now)
+		return ReportAnswer{Code: 503}
+	}
+	if c.cutOff(now) && now-m.Away > c.cfg.WorkerLease()/2 {
+		// While it is answered here the worker stays, and its successor can't use it. It
+		// looks for one; if there is none, it is back within seconds and kept.
+		m.Away = now
 		return ReportAnswer{Code: 503}
 	}
+	// Only what is new shows that workers reach this node; late copies don't.
+	c.lastReport = now
 	if r.Session == m.Session && r.Seq < m.OrderSeq {
 		// Written before the worker executed an order whose answer is known: what
 		// it lacks may have started since. It only shows that the worker lives.
@@ -64,27 +76,47 @@
 		m.Up, m.IdleSince = true, now
 		slog.Debug("machine up", "machine", m.ID, "age", (now - m.Since).Seconds())
 	}
-	moved := r.Session > m.Session
+	moved, heard := r.Session > m.Session, m.Heard
 	m.Session, m.Seq, m.Heard, m.Addr = r.Session, r.Seq, now, r.Addr
 	if moved {
+		if m.Session > 0 && len(m.Places) > 0 {
+			slog.Info("worker began a new session", "machine", m.ID, "session", r.Session, "tasks", len(m.Places),
+				"heard", (now - heard).Seconds(), "answered", (now - m.Answered).Seconds())
+		}
+		if c.renewedInVain(m, now) {
+			c.sign(m, hearing.SessionLost, now)
+		}
 		m.OrderSeq = 0
 		for _, p := range places(m) {
-			if p.Session < r.Session {
+			// Written before the worker had heard the term that placed it, the report may
+			// be a late copy of a machine that was since started anew.
+			if p.Session < r.Session && r.Token >= p.Attempt>>32 {
 				c.leave(p)
 			}
 		}
 	}
-	if r.Notice != nil && m.Notice == 0 {
+	if r.Notice == nil {
+		m.Notice = 0 // what brought it was a late copy, or the cloud thought better of it
+	} else if m.Notice == 0 {
 		m.Notice = now + clock.FromSeconds(*r.Notice)
 		c.drainForNotice(m, now)
 	}
+	if m.LostOrder {
+		m.LostOrder = false
+		c.sign(m, hearing.OrderLost, now)
+	}
 	if r.Token == c.term {
 		if !m.Acked {
 			m.Acked = true
+			m.Ear.Proof()
 			c.wake()
 		}
 		renew.Body.Commands = c.digest(m, r, now)
 	} else {
+		if m.Greeted {
+			c.sign(m, hearing.TokenLost, now)
+		}
+		m.Greeted = true
 		renew.Body.Commands = c.cancelledIn(r)
 	}
 	m.Answered = now
@@ -146,9 +178,20 @@
 	held := places(m)
 	for _, p := range held {
 		if t := reported[p.Task]; t != nil {
+			if !p.Seen && !p.Inherited {
+				m.Ear.Proof()
+			}
 			c.observe(m, p, t, now)
 			continue
 		}
+		if p.Sent && !p.Direct && !p.Seen && !p.Inherited {
+			// It rode on the answer to an earlier report, which was taken or dropped by now.
+			c.sign(m, hearing.LaunchLost, now)
+			if m.Ear.Deaf {
+				c.leave(p)
+				continue
+			}
+		}
 		switch {
 		case !p.Sent, p.Direct:
 		case p.Seen, p.Inherited, p.Stopping && now-p.SentAt > responseLife+c.margin():
@@ -201,6 +244,7 @@
 				continue
 			}
 			stop = append(stop, wire.Command{Op: wire.OpStop, Task: p.Task, Attempt: p.Attempt, Grace: &grace})
+		case m.Ear.Deaf:
 		case p.Committed && !p.Seen && p.Session == m.Session && !p.Inherited && !p.Direct && !(direct && p.Sent):
 			p.Sent, p.SentAt, p.Direct = true, now, direct
 			start = append(start, wire.Command{Op: wire.OpStart, Task: p.Task, Attempt: p.Attempt})
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -418,13 +418,26 @@
 			x.Hang(true)
 			w.After(span("for", 5), func() { x.Hang(false) })
 		}
+	case "deaf": // what is sent to a machine does not reach it; what it sends arrives
+		return func() {
+			id := s.worker(a).id
+			w.deaf[id] = true
+			w.After(span("for", 20), func() { delete(w.deaf, id) })
+		}
+	case "copies": // of reports come again, at any node
+		return func() {
+			w.copies = &copying{a.num("share", 0.5), span("by", 20), rand.New(rand.NewPCG(uint64(w.now), 4))}
+			w.After(span("for", 60), func() { w.copies = nil })
+		}
+	case "reborn": // a machine is back at once, and counts from the beginning
+		return func() { s.worker(a).Reborn() }
 	case "sick":
 		return func() { s.worker(a).Sick = true }
 	case "notice":
 		return func() { s.worker(a).Notify(span("in", 8)) }
 	case "take":
 		return func() { w.Cloud.remove(s.worker(a).id) }
-	case "wave": // many machines at once: hang, cut, sick, or taken
+	case "wave": // many machines at once: hang, cut, deaf, reborn, sick, or taken
 		return func() {
 			rng := rand.New(rand.NewPCG(uint64(w.now), 3))
 			for _, id := range sortedKeys(w.Cloud.Machines) {
@@ -437,6 +450,11 @@
 					w.After(span("for", 10), func() { x.Hang(false) })
 				case "cut":
 					s.verb("isolate", args{words: []string{"", "hold"}, pairs: map[string]string{"machine": id, "for": a.pairs["for"]}})()
+				case "deaf":
+					w.deaf[id] = true
+					w.After(span("for", 10), func() { delete(w.deaf, id) })
+				case "reborn":
+					x.Reborn()
 				case "sick":
 					x.Sick = true
 					w.After(span("for", 10), func() { x.Sick = false })
@@ -449,7 +467,7 @@
 		}
 	case "chaos":
 		return func() {
-			s.chaos(uint64(a.num("seed", 1)), span("from", 20), span("to", 200), span("every", 8), span("pipelines", 1e9), int(a.num("size", 1)))
+			s.chaos(uint64(a.num("seed", 1)), span("from", 20), span("to", 200), span("every", 8), span("pipelines", 1e9), int(a.num("size", 1)), int(a.num("more", 0)))
 		}
 	case "expect":
 		return s.expectation(a)
@@ -459,9 +477,10 @@
 
 // chaos submits jobs and brings random troubles over them. In the end every
 // job that nobody cancelled must be done. From the given time on, jobs await
-// others. With a size above 1, jobs are so many times larger, and troubles come over
+// others. With more, of up to 6, come deaf machines, late copies, leaders without state
+// service and peers, machines started anew, and processes back at once. With a size above 1, jobs are so many times larger, and troubles come over
 // many machines at once.
-func (s *script) chaos(seed uint64, from, to, every, pipelines Micros, size int) {
+func (s *script) chaos(seed uint64, from, to, every, pipelines Micros, size, more int) {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	jobs := 0
 	line := func(t Micros, format string, args ...any) {
@@ -507,10 +526,10 @@
 		victim := fmt.Sprintf("of=req-%06d", 1+rng.IntN(jobs))
 		span := 2 + rng.IntN(20)
 		if size > 1 && rng.IntN(3) == 0 {
-			kind := []string{"hang", "cut", "sick", "taken"}[rng.IntN(4)]
+			kind := []string{"hang", "cut", "sick", "taken", "deaf", "reborn"}[rng.IntN(4+min(more/3, 2))]
 			line(t, "wave %s share=0.%d for=%d", kind, 1+rng.IntN(6), span)
 		}
-		switch rng.IntN(16) {
+		switch rng.IntN(16 + more) {
 		case 0:
 			line(t, "kill leader for=%d", span)
 		case 1:
@@ -543,6 +562,18 @@
 			line(t, "late-order by=%d", span)
 		case 15:
 			line(t, "slow-reports by=%d for=%d", 1+rng.IntN(3), span)
+		case 16:
+			line(t, "deaf %s for=%d", victim, 2*span)
+		case 17:
+			line(t, "copies share=0.%d by=%d for=%d", 1+rng.IntN(9), 2+rng.IntN(40), 2*span)
+		case 18:
+			line(t, "cut leader state peers hold for=%d", 2*span)
+		case 19:
+			line(t, "reborn %s", victim)
+		case 20:
+			line(t, "repeat kill leader every=0.%d count=%d for=0.0%d", 2+rng.IntN(8), 2+rng.IntN(6), 1+rng.IntN(9))
+		case 21:
+			line(t, "kill all for=0.%d", 1+rng.IntN(9))
 		}
 	}
 }
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -19,6 +19,7 @@
 	up, dead, hung bool
 	Sick           bool // every task fails
 	session, seq   uint64
+	life           int // answers to requests of an earlier one don't arrive
 	token          uint64
 	node           int // index of the node it reports to
 	renewed        Micros
@@ -71,6 +72,14 @@
 	lease()
 }
 
+// Reborn starts the machine anew under its name and address: it counts from the beginning
+// and knows nothing, its images included.
+func (x *Worker) Reborn() {
+	x.killAll()
+	x.life++
+	x.session, x.seq, x.token, x.renewed, x.images = 1, 0, 0, x.w.now, map[string]bool{}
+}
+
 func (x *Worker) die() {
 	x.killAll()
 	x.dead, x.up = true, false
@@ -142,7 +151,7 @@
 	}
 	w := x.w
 	every := Micros(w.Config.Params.Workers.Report * 1e6)
-	sent, session := w.now, x.session
+	sent, session, life := w.now, x.session, x.life
 	n := w.Nodes[x.node]
 	next := func(d Micros) { w.After(d, x.report) }
 	other := func() {
@@ -150,9 +159,14 @@
 		next(sec)
 	}
 	rep := x.snapshot()
+	w.copyLater(rep)
 	slow := w.SlowReports
 	answered := func(a controller.ReportAnswer) {
 		x.do(func() {
+			if life != x.life {
+				other()
+				return
+			}
 			switch a.Code {
 			case 200:
 				if a.Body.Token >= x.token && a.Body.Token > 0 && session == x.session && w.now-sent <= 4*sec {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -85,13 +85,15 @@
 	KnownRefused int
 	live         *Live // nil in virtual time
 	cuts         map[[2]string]Cut
+	deaf         map[string]bool // hosts that nothing reaches
+	copies       *copying
 	held         map[[2]string][]func()
 }
 
 // NewWorld makes a world with the given number of controllers.
 func NewWorld(nodes int, zones []string, seed uint64) *World {
 	w := &World{rng: rand.New(rand.NewPCG(seed, 1)), pol: policy.Default(), Users: map[string]*User{},
-		cuts: map[[2]string]Cut{}, held: map[[2]string][]func(){}}
+		cuts: map[[2]string]Cut{}, deaf: map[string]bool{}, held: map[[2]string][]func(){}}
 	p := &w.Config.Params
 	p.Size, p.Zones = nodes, zones
 	p.Workers.Report, p.Workers.Lease, p.Workers.Cancel = 1, 10, 40
@@ -148,8 +150,37 @@
 	}
 }
 
+// copying has a share of the machines' reports arrive once more, later, at any node.
+type copying struct {
+	share float64
+	by    Micros
+	rng   *rand.Rand
+}
+
+// copyLater delivers a late copy of a report. Nobody waits for the answer.
+func (w *World) copyLater(rep *wire.Report) {
+	c := w.copies
+	if c == nil || c.rng.Float64() >= c.share {
+		return
+	}
+	body := wire.Encode(rep)
+	n := w.Nodes[c.rng.IntN(len(w.Nodes))]
+	w.After(c.by/10+Micros(c.rng.Int64N(int64(c.by))), func() {
+		if n.Up() {
+			got, err := wire.DecodeReport(body)
+			if err != nil {
+				panic(err)
+			}
+			n.core.OnReport(got)
+		}
+	})
+}
+
 // send carries a message from one host to another.
 func (w *World) send(from, to string, deliver func()) {
+	if w.deaf[to] {
+		return
+	}
 	switch k := link(from, to); w.cuts[k] {
 	case Drop:
 	case Hold:
