--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -484,6 +484,9 @@
 	}
 	slices.Sort(j.Targets)
 	slices.Sort(j.Starts)
+	if j.BeginBy = 0; c.pol.Begin > 0 {
+		j.BeginBy = at + c.pol.Begin
+	}
 }
 
 // requeue fills a job's queue with its pending tasks.
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -27,7 +27,7 @@
 // Ear is what is known of one machine's hearing.
 type Ear struct {
 	Deaf   bool
-	Since  Micros // it is deaf
+	Since  Micros // when the first sign of it came, without a proof since
 	Lost   bool   // its session moved since: nothing of before is on it
 	signs  Sign
 	at     Micros // of the latest sign
@@ -46,6 +46,9 @@
 	if s < SessionLost && e.signs > 0 && now-e.at < span {
 		return false
 	}
+	if e.signs == 0 {
+		e.Since = now
+	}
 	e.signs, e.at = e.signs+s, now
 	if s == SessionLost {
 		e.Lost = true
@@ -53,7 +56,7 @@
 	if e.Deaf || e.signs < enough {
 		return false
 	}
-	e.Deaf, e.Since, e.silent = true, now, 0
+	e.Deaf, e.silent = true, 0
 	return true
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"cmp"
 	_ "embed"
 	"fmt"
 	"maps"
@@ -36,6 +37,7 @@
 	MovePeriod    clock.Micros
 	Emptying      float64
 	Patience      clock.Micros
+	Begin         clock.Micros
 	Admission     admit.Rules
 }
 
@@ -55,6 +57,7 @@
 func Parse(programs ...Program) (*Policy, error) {
 	values := starlark.StringDict{}
 	known := map[string]bool{}
+	set := map[string]string{} // where each name was set last
 	for i, src := range append([]Program{{"default.star", defaults}}, programs...) {
 		thread := &starlark.Thread{Name: src.Name}
 		thread.SetMaxExecutionSteps(1_000_000)
@@ -62,16 +65,17 @@
 		if err != nil {
 			return nil, fmt.Errorf("policy: %w", err)
 		}
+		place(set, src)
 		for k, v := range globals {
 			if i == 0 {
 				known[k] = true
 			} else if _, fn := v.(starlark.Callable); !known[k] && !fn && k[0] != '_' {
-				return nil, fmt.Errorf("policy: %s: unknown setting %q", src.Name, k)
+				return nil, fmt.Errorf("policy: %s: unknown setting %q; names that begin with _ are yours", cmp.Or(set[k], src.Name), k)
 			}
 			values[k] = v
 		}
 	}
-	r := reader{values: values}
+	r := reader{values: values, set: set}
 	p := &Policy{
 		Cycle:         r.seconds("cycle_s", 0.01, 60),
 		Smoothing:     r.number("smoothing", 0.01, 1),
@@ -89,6 +93,7 @@
 		MovePeriod:    r.seconds("move_period_s", 1, 1e7),
 		Emptying:      r.number("emptying", 0, 1),
 		Patience:      r.seconds("patience_s", 0, 1e6),
+		Begin:         r.seconds("begin_s", 0, 1e6),
 		Admission: admit.Rules{
 			On:     r.truth("admission"),
 			Serve:  r.number("serve", 0, 1),
@@ -110,15 +115,38 @@
 	return nil
 }
 
+// place notes at which file and line a program assigns each of its names.
+func place(set map[string]string, src Program) {
+	file, err := syntax.Parse(src.Name, src.Text, 0)
+	if err != nil {
+		return // it ran, so it can be parsed
+	}
+	for _, stmt := range file.Stmts {
+		if a, ok := stmt.(*syntax.AssignStmt); ok {
+			if id, ok := a.LHS.(*syntax.Ident); ok {
+				set[id.Name] = fmt.Sprintf("%s:%d", src.Name, id.NamePos.Line)
+			}
+		}
+	}
+}
+
 type reader struct {
 	values starlark.StringDict
+	set    map[string]string
 	err    error
 }
 
+// refuse keeps the first complaint about a name, with the place where it was set.
+func (r *reader) refuse(name, format string, args ...any) {
+	if r.err == nil {
+		r.err = fmt.Errorf("policy: %s: %s: %s", r.set[name], name, fmt.Sprintf(format, args...))
+	}
+}
+
 func (r *reader) number(name string, min, max float64) float64 {
 	v, ok := starlark.AsFloat(r.values[name])
-	if (!ok || !(v >= min && v <= max)) && r.err == nil {
-		r.err = fmt.Errorf("policy: %s: %v is not between %v and %v", name, r.values[name], min, max)
+	if !ok || !(v >= min && v <= max) {
+		r.refuse(name, "%v is not between %v and %v", r.values[name], min, max)
 	}
 	return v
 }
@@ -129,8 +157,8 @@
 
 func (r *reader) truth(name string) bool {
 	v, ok := r.values[name].(starlark.Bool)
-	if !ok && r.err == nil {
-		r.err = fmt.Errorf("policy: %s: %v is neither True nor False", name, r.values[name])
+	if !ok {
+		r.refuse(name, "%v is neither True nor False", r.values[name])
 	}
 	return bool(v)
 }
@@ -139,17 +167,15 @@
 func (r *reader) table(name string, min, max float64) map[string]float64 {
 	out := map[string]float64{}
 	dict, ok := r.values[name].(*starlark.Dict)
-	if !ok && r.err == nil {
-		r.err = fmt.Errorf("policy: %s: %v is not a dictionary", name, r.values[name])
-	}
 	if !ok {
+		r.refuse(name, "%v is not a dictionary", r.values[name])
 		return out
 	}
 	for _, item := range dict.Items() {
 		class, text := starlark.AsString(item[0])
 		v, num := starlark.AsFloat(item[1])
-		if (!text || class == "" || !num || !(v >= min && v <= max)) && r.err == nil {
-			r.err = fmt.Errorf("policy: %s: %v: %v is not a class with a number between %v and %v", name, item[0], item[1], min, max)
+		if !text || class == "" || !num || !(v >= min && v <= max) {
+			r.refuse(name, "%v: %v is not a class with a number between %v and %v", item[0], item[1], min, max)
 		}
 		out[class] = v
 	}
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -16,9 +16,10 @@
 		t.Fatalf("%+v, %v", p, err)
 	}
 	for program, want := range map[string]string{
-		"idle_s = -1":             "idle_s",
+		"\nidle_s = -1":           "site.star:2: idle_s: -1 is not between 0 and 100000",
+		"begin_s = -1":            "site.star:1: begin_s",
 		"smoothing = 'much'":      "smoothing",
-		"idel_s = 4":              "idel_s",
+		"\n\nidel_s = 4":          "site.star:3: unknown setting \"idel_s\"",
 		"admission = 1":           "admission",
 		"class_serve = {'a': -1}": "class_serve: \"a\"",
 		"class_serve = {'a': 0.0/0.0001*float('nan')}": "class_serve: \"a\"",
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -34,6 +34,7 @@
 	Targets   []Micros // when its class's objectives want it done, earliest first
 	Starts    []Micros // when they want its tasks started, earliest first
 	StartBy   Micros   // the last of those; 0: none does
+	BeginBy   Micros   // whatever its aims, it should have begun by then; 0: nobody cares
 	Estimate  Micros   // expected run time of a task
 
 	Before  []*Job // jobs that it needs, as far as they are not over for good
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -145,7 +145,9 @@
 
 // Levels of urgency.
 const (
-	first   = iota // production and high priority
+	first   = iota // production
+	overdue        // has not begun for so long that its users think it forgotten
+	high           // of high priority
 	pressed        // must start now to meet its aim
 	relaxed
 )
@@ -153,8 +155,13 @@
 func (j *Job) urgency(now Micros) int {
 	// A priority that a later stage lends does not by itself make a job urgent:
 	// each wave of a pipeline's tasks would stop other work while there is time.
-	if j.Priority >= wire.PriorityProduction || wire.PriorityOf(j.Spec.Priority) >= wire.PriorityHigh && !j.patient(now) {
+	switch {
+	case j.Priority >= wire.PriorityProduction:
 		return first
+	case j.overdue(now):
+		return overdue
+	case wire.PriorityOf(j.Spec.Priority) >= wire.PriorityHigh && !j.patient(now):
+		return high
 	}
 	if j.Prompt(now) {
 		return pressed
@@ -166,6 +173,13 @@
 	return relaxed
 }
 
+// overdue reports whether the job has waited so long without beginning that it goes before
+// all but production: an array with one task, a gang whole. Under overload the largest jobs
+// would otherwise be the last for ever, since what takes least goes first.
+func (j *Job) overdue(now Micros) bool {
+	return j.BeginBy > 0 && now >= j.BeginBy && !j.begun()
+}
+
 // Prompt reports whether the job's users want it started before a machine that is
 // rented for it could have come. Nothing but room at hand helps it, so it is pressed from
 // the first moment on; and also for a while after that, as long as it has not begun.
@@ -315,6 +329,9 @@
 		rest[j] = j.rest(p.Now)
 	}
 	slices.SortStableFunc(jobs, func(a, b *Job) int {
+		if o := cmp.Compare(b2i(b.overdue(p.Now)), b2i(a.overdue(p.Now))); o != 0 {
+			return o
+		}
 		if a.Turn.Needed && b.Turn.Needed {
 			return cmp.Or(cmp.Compare(b2i(b.begun()), b2i(a.begun())), cmp.Compare(a.Turn.Share, b.Turn.Share))
 		}
@@ -355,7 +372,7 @@
 // entitled reports whether a job may have one more place in this round. The last place
 // may go beyond its team's share: one smaller than a task is one too.
 func (p *pass) entitled(j *Job) bool {
-	if p.last() {
+	if p.last() || j.overdue(p.Now) {
 		return true
 	}
 	if p.round == belowFloor {
@@ -433,7 +450,7 @@
 		return
 	}
 	p.unbook(j)
-	held := j.Zones(nil)
+	held, taste := j.Zones(nil), !j.Service() && j.overdue(p.Now)
 	p.warm = warm
 	p.scoreAll(j, "")
 	if held == nil {
@@ -454,6 +471,9 @@
 			p.stop(v, 0)
 		}
 		p.place(j, i, p.Attempt())
+		if taste {
+			return // it has begun; the rest waits as ever
+		}
 		if held != nil {
 			held[p.use[i].Zone]++
 		}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -1,7 +1,9 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"lilacthread/internal/controller"
 	"lilacthread/wire"
@@ -10,15 +12,16 @@
 // Checker watches the protocol's rules. Names of broken rules are the
 // protocol's.
 type Checker struct {
-	Broken  []string
-	Now     func() Micros
-	Limits  map[string]float64 // CPUs a team may use; 0: no limit
-	Fair    bool               // starvation of a class or team counts as a broken rule
-	Widest  map[string]Micros  // the widest aim of a class
-	jobs    map[string]*judged
-	on      map[string]map[string]bool // task -> machines it is on
-	usage   map[string]float64
-	started int
+	Broken   []string
+	Now      func() Micros
+	Limits   map[string]float64 // CPUs a team may use; 0: no limit
+	Fair     bool               // starvation of a class or team counts as a broken rule
+	Widest   map[string]Micros  // the widest aim of a class
+	troubled Micros             // when the last trouble ends
+	jobs     map[string]*judged
+	on       map[string]map[string]bool // task -> machines it is on
+	usage    map[string]float64
+	started  int
 }
 
 type judged struct {
@@ -30,9 +33,12 @@
 	told      bool
 	toldAt    Micros
 	since     Micros // when it was accepted
+	first     Micros // attempt to submit it
+	asked     Micros // the first question since the last that was answered; 0: none
 	doneTasks map[int]bool
 	doneAt    Micros // when the last of them was
 	began     Micros // when its first task was on a machine; 0: never
+	whole     Micros // when all were at once
 	zones     map[string]int
 }
 
@@ -47,7 +53,7 @@
 
 // Known tells the checker of a job that a user is about to submit.
 func (c *Checker) Known(job *wire.Job) {
-	c.jobs[job.ID] = &judged{job: job, doneTasks: map[int]bool{}, zones: map[string]int{}}
+	c.jobs[job.ID] = &judged{job: job, first: c.Now(), doneTasks: map[int]bool{}, zones: map[string]int{}}
 }
 
 // Known facts of a job when a request was sent: only these bind its answer,
@@ -61,6 +67,9 @@
 // Asking notes the facts that bind the answer to a request sent now.
 func (c *Checker) Asking(id string) facts {
 	if j := c.jobs[id]; j != nil {
+		if j.accepted && j.asked == 0 {
+			j.asked = max(c.Now(), 1)
+		}
 		late := func(n *judged) bool { return n.told && c.Now() > max(n.goneBy, j.since+n.goneBy-n.toldAt) }
 		return facts{j.accepted, j.final, j.accepted && c.before(j, late)}
 	}
@@ -101,6 +110,7 @@
 	j := c.jobs[id]
 	switch a.Code {
 	case 200, 201:
+		j.asked = 0
 		if !j.accepted {
 			j.accepted, j.since = true, c.Now()
 		}
@@ -121,10 +131,18 @@
 	case a.Code == 404 && f.accepted:
 		c.broke("forgotten", "%s: 404", id)
 	case a.Code == 200:
+		j.asked = 0
 		c.phase(id, f, a)
 	}
 }
 
+// Trouble notes that something goes wrong until then.
+func (c *Checker) Trouble(until Micros) { c.troubled = max(c.troubled, until) }
+
+// unknownAfter is how long no question about a job may stay without an answer once all
+// troubles are over.
+const unknownAfter = 75 * sec
+
 func (c *Checker) phase(id string, f facts, a controller.Answer) {
 	j := c.jobs[id]
 	phase := a.Status.Phase
@@ -211,6 +229,13 @@
 		j.began = max(c.Now(), 1)
 	}
 	j.zones[zone]++
+	on := 0
+	for _, n := range j.zones {
+		on += n
+	}
+	if on == s.Tasks && j.whole == 0 {
+		j.whole = max(c.Now(), 1)
+	}
 	c.usage[s.Team] += s.CPUs
 	if limit := c.Limits[s.Team]; limit > 0 && c.usage[s.Team] > limit+1e-6 {
 		c.broke("quota", "%s uses %v of %v", s.Team, c.usage[s.Team], limit)
@@ -243,6 +268,7 @@
 
 // Sweep judges what time alone makes wrong.
 func (c *Checker) Sweep(now Micros) {
+	c.judgeKnown(now)
 	for _, task := range sortedKeys(c.on) {
 		id, _, _ := wire.SplitTask(task)
 		if j := c.jobs[id]; j != nil && j.told && now > j.goneBy && len(c.on[task]) > 0 {
@@ -252,6 +278,17 @@
 	}
 }
 
+// judgeKnown holds the day to this: what was accepted, and not cancelled, stays known,
+// however others fare. A refusal, an error and silence are no answers.
+func (c *Checker) judgeKnown(now Micros) {
+	for _, id := range sortedKeys(c.jobs) {
+		if j := c.jobs[id]; j.accepted && !j.askCancel && j.asked > 0 && now-max(j.asked, c.troubled) > unknownAfter {
+			c.broke("forgotten", "%s: no question is answered for 75 s", id)
+			j.asked = 0 // once is enough
+		}
+	}
+}
+
 // Finish judges the whole day.
 func (c *Checker) Finish() {
 	if c.started == 0 && len(c.jobs) > 0 {
@@ -259,6 +296,7 @@
 	}
 	if c.Fair {
 		c.judgeFair()
+		c.judgeLargest()
 	}
 }
 
@@ -321,5 +359,48 @@
 	}
 }
 
+// beginWithin is when the largest jobs of a class have to have begun, counted from the
+// first attempt to submit them.
+const beginWithin = 240 * sec
+
+// judgeLargest holds the day to what its operators say of a class's largest jobs: half of
+// them served, and begun within four minutes. Which those are they don't say: both the top
+// tenth and the top quarter are judged, by tasks times the dominant resource of one, with
+// eight CPUs as good as an accelerator. A gang has begun when all of it is on machines.
+func (c *Checker) judgeLargest() {
+	classes := map[string][]*judged{}
+	size := func(j *judged) float64 { return float64(j.job.Tasks) * max(j.job.CPUs, 8*j.job.GPUs) }
+	for _, id := range sortedKeys(c.jobs) {
+		if j := c.jobs[id]; !j.askCancel && j.first+beginWithin < c.Now() {
+			classes[j.job.Class] = append(classes[j.job.Class], j)
+		}
+	}
+	for _, class := range sortedKeys(classes) {
+		list := classes[class]
+		slices.SortStableFunc(list, func(a, b *judged) int { return cmp.Compare(size(b), size(a)) })
+		for _, part := range []int{10, 4} {
+			top := list[:(len(list)+part-1)/part]
+			accepted, begun := 0, 0
+			for _, j := range top {
+				at := j.began
+				if j.job.Kind == wire.KindGang {
+					at = j.whole
+				}
+				if j.accepted {
+					accepted++
+				}
+				if at > 0 && at-j.first <= beginWithin {
+					begun++
+				} else if part == 10 {
+					c.broke("late", "%s, one of the largest of class %s, has not begun after 240 s", j.job.ID, class)
+				}
+			}
+			if 2*accepted < len(top) || 2*begun < len(top) {
+				c.broke("starved", "largest of class %s: of %d, %d accepted, %d begun", class, len(top), accepted, begun)
+			}
+		}
+	}
+}
+
 // settled is how long a job must have been accepted to be counted.
 const settled = 60 * sec
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -184,7 +184,25 @@
 	return []string{s.node(word).name}
 }
 
+// troubles are the verbs that make something go wrong, for a while or at once.
+var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true,
+	"refuse": true, "outage": true, "late-txn": true, "lost-answer": true, "late-order": true, "slow-reports": true,
+	"late-rent": true, "no-boot": true, "hang": true, "deaf": true, "copies": true, "reborn": true, "sick": true,
+	"notice": true, "take": true, "wave": true, "upgrade": true}
+
+// verb gives what a line does, and tells the checker until when its trouble lasts.
 func (s *script) verb(name string, a args) func() {
+	do := s.action(name, a)
+	if do == nil || !troubles[name] {
+		return do
+	}
+	return func() {
+		do()
+		s.w.Rules.Trouble(s.w.now + Micros((a.num("for", 20)+a.num("by", 0)+a.num("in", 0))*1e6))
+	}
+}
+
+func (s *script) action(name string, a args) func() {
 	w := s.w
 	span := func(key string, def float64) Micros { return Micros(a.num(key, def) * 1e6) }
 	switch name {
@@ -202,7 +220,7 @@
 			if z := a.pairs["zones"]; z != "" {
 				zones = strings.Split(z, ",")
 			}
-			w.Cloud.Types = append(w.Cloud.Types, wire.MachineType{Name: a.word(0), CPUs: a.num("cpus", 8),
+			w.Cloud.Types = append(w.Cloud.Types, wire.MachineType{Name: a.word(0), CPUs: a.num("cpus", 8), GPUs: a.num("gpus", 0),
 				MemoryGB: a.num("mem", 32), CacheGB: 50, FetchRate: a.num("fetch", 1), Price: a.num("price", 1),
 				SpotPrice: a.num("spot", 0.3), Boot: a.num("boot", 10), Zones: zones})
 		}
@@ -613,7 +631,7 @@
 	kinds := map[string]string{"array": wire.KindArray, "gang": wire.KindGang, "service": wire.KindService}
 	priorities := map[string]string{"low": "best_effort", "normal": "normal", "high": "urgent", "production": "prod"}
 	j := &wire.Job{ID: a.word(0), Class: "c", Team: "core", Kind: kinds[a.word(1)], Priority: "normal",
-		Tasks: int(a.num("tasks", 1)), CPUs: a.num("cpus", 2), MemoryGB: a.num("mem", 2), Image: "img", ImageGB: 1,
+		Tasks: int(a.num("tasks", 1)), CPUs: a.num("cpus", 2), GPUs: a.num("gpus", 0), MemoryGB: a.num("mem", 2), Image: "img", ImageGB: 1,
 		Estimate: a.num("run", 10), Checkpoint: a.num("checkpoint", 0), Save: a.num("save", 0),
 		Zone: a.pairs["zone"], OneZone: a.has("together"), Spread: a.has("spread"), Spot: a.has("spot")}
 	if t := a.pairs["team"]; t != "" {
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -112,6 +113,48 @@
 			c.Finish()
 			c.Broken = c.Broken[max(len(c.Broken)-2, 0):]
 		},
+		"forgotten: req-000001: no question": func(c *Checker) {
+			c.Submitted(id, c.Asking(id), controller.Answer{Code: 201, Status: wire.JobStatus{ID: id, Phase: wire.PhaseQueued}})
+			c.Trouble(100 * sec)
+			for at := 10 * sec; at < 185*sec; at += 5 * sec {
+				c.Now = func() Micros { return at }
+				c.Polled(id, c.Asking(id), controller.Answer{Code: 503})
+				if c.Sweep(at); len(c.Broken) > 0 && at < 180*sec {
+					c.Broken = []string{"too soon"}
+				}
+			}
+		},
+		"late: req-000010, one of the largest": func(c *Checker) {
+			c.Fair = true
+			for i := range 10 {
+				id := fmt.Sprintf("req-%06d", 10+i)
+				c.Known(&wire.Job{ID: id, Class: "c", Team: "core", Kind: wire.KindArray, Tasks: 20 - i, CPUs: 1})
+				c.Submitted(id, c.Asking(id), controller.Answer{Code: 201, Status: wire.JobStatus{ID: id, Phase: wire.PhaseQueued}})
+				if i > 0 {
+					c.Started(0, id+"/0", "m-1", "t", "a", false)
+				}
+			}
+			delete(c.jobs, id)
+			c.Now = func() Micros { return 300 * sec }
+			c.Finish()
+		},
+		"starved: largest of class c": func(c *Checker) {
+			c.Fair = true
+			for i := range 20 {
+				id := fmt.Sprintf("req-%06d", 10+i)
+				c.Known(&wire.Job{ID: id, Class: "c", Team: "core", Kind: wire.KindGang, Tasks: 2 + i, CPUs: 1})
+				c.Submitted(id, c.Asking(id), controller.Answer{Code: 201, Status: wire.JobStatus{ID: id, Phase: wire.PhaseQueued}})
+				for k := range 2 + i { // the five largest without their last task
+					if i < 15 || k < 1+i {
+						c.Started(0, fmt.Sprintf("%s/%d", id, k), "m-1", "t", "a", false)
+					}
+				}
+			}
+			delete(c.jobs, id)
+			c.Now = func() Micros { return 300 * sec }
+			c.Finish()
+			c.Broken = slices.DeleteFunc(c.Broken, func(s string) bool { return strings.HasPrefix(s, "late") })
+		},
 		"nothing_ran": func(c *Checker) { c.Finish() },
 	}
 	for rule, break_ := range cases {
@@ -124,6 +167,18 @@
 	}
 }
 
+// TestBeginNeeded plays the overload with large jobs without the time by which a job should
+// have begun: the largest of each class are then still waiting after four minutes.
+func TestBeginNeeded(t *testing.T) {
+	text, err := os.ReadFile("testdata/overload_largest.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Play(strings.Replace(string(text), "serve=0.4", "serve=0.4 begin_s=0", 1)); err == nil || !strings.Contains(err.Error(), "late: ") {
+		t.Error(err)
+	}
+}
+
 // TestSharesNeeded plays the overload scenarios in the usual order: each then starves
 // somebody, so the rule catches it and the shares are what prevents it.
 func TestSharesNeeded(t *testing.T) {
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -257,7 +257,7 @@
 		return
 	}
 	t.job = j.job
-	cpus, mem := t.job.CPUs, t.job.MemoryGB
+	cpus, gpus, mem := t.job.CPUs, t.job.GPUs, t.job.MemoryGB
 	for _, k := range x.order {
 		o := x.tasks[k]
 		if o == t || o.state == wire.TaskExited {
@@ -268,9 +268,10 @@
 			return
 		}
 		cpus += o.job.CPUs
+		gpus += o.job.GPUs
 		mem += o.job.MemoryGB
 	}
-	if cpus > x.typ.CPUs+1e-6 || mem > x.typ.MemoryGB+1e-6 {
+	if cpus > x.typ.CPUs+1e-6 || gpus > x.typ.GPUs+1e-6 || mem > x.typ.MemoryGB+1e-6 {
 		t.state, t.cause = wire.TaskExited, wire.CauseNoRoom
 		return
 	}
