Bookings shared by shape; the oldest overdue first; workers give way on a node short of sockets

Beyond 60% of the sockets a worker's connection is closed with its answer and made anew for the next report.

--- a/internal/sched/booking.go
+++ b/internal/sched/booking.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
+	"strings"
 
 	"lilacthread/internal/clock"
 	"lilacthread/wire"
@@ -41,14 +43,25 @@
 	// frees between two passes, and little enough to be cheap.
 	mostBooked = 128
 	mostOfJob  = 64
+	// mostOfArray is what an array books at once: its tasks need not begin together.
+	mostOfArray = 4
 )
 
 // bulky reports whether one task's end may not make room for the job.
 func (j *Job) bulky() bool { return j.Gang() || j.large }
 
+// toBook is for how many of its tasks the job wants room.
+func (j *Job) toBook() int {
+	if j.Gang() {
+		return len(j.Queue)
+	}
+	return min(len(j.Queue), mostOfArray)
+}
+
 // books reports whether the job may book machines.
 func (p *pass) books(j *Job) bool {
-	return j.bulky() && len(j.Queue) > 0 && len(j.Queue) <= mostOfJob && p.booked+len(j.Queue) <= mostBooked &&
+	n := j.toBook()
+	return j.bulky() && n > 0 && n <= mostOfJob && p.booked+n <= mostBooked &&
 		(j.urgency(p.Now) <= pressed || p.Now-j.Ready > bookAfter)
 }
 
@@ -59,6 +72,7 @@
 	}
 	for _, j := range jobs {
 		if j.Booked {
+			j.Booked = false
 			p.book(j)
 		}
 	}
@@ -81,14 +95,16 @@
 	j.at = j.at[:0]
 }
 
-// book keeps room for all tasks that a job still has to place, or for none.
+// book keeps room for all tasks of a gang or for none, and for the next few of an array. What
+// a job keeps already stands.
 func (p *pass) book(j *Job) {
-	j.Booked, j.at = false, j.at[:0]
-	if !p.books(j) {
+	if j.Booked || !p.books(j) {
 		return
 	}
+	j.at = j.at[:0]
 	if p.keeps == nil {
 		p.keeps, p.ends = make([][]booking, len(p.use)), make([][]ending, len(p.use))
+		p.shapes = map[shape]*candidates{}
 	}
 	zones := []string{""}
 	if j.Spec.OneZone {
@@ -97,8 +113,8 @@
 	need, best, done := j.Need(), []int(nil), clock.Forever
 	var bestAt []Micros
 	for _, zone := range zones {
-		if picks, at := p.bookings(j, need, zone); picks != nil && at[len(at)-1] < done {
-			best, bestAt, done = picks, at, at[len(at)-1]
+		if picks, at := p.bookings(j, need, zone); picks != nil && slices.Max(at) < done {
+			best, bestAt, done = picks, at, slices.Max(at)
 		}
 	}
 	for k, i := range best {
@@ -108,43 +124,93 @@
 	}
 }
 
-// bookings picks a machine for each task of j, and tells when it will have the room.
-func (p *pass) bookings(j *Job, need Need, zone string) (picks []int, at []Micros) {
-	type candidate struct {
-		i  int
-		at Micros
+// candidate is a machine and when it will have the room for a task.
+type candidate struct {
+	i  int
+	at Micros
+}
+
+// shape is what of a job decides which machines may take its tasks, and when.
+type shape struct {
+	need        Need
+	spot        bool
+	zone, types string
+}
+
+// candidates is a heap by time. The times in it may be too early, never too late: a booking
+// only takes room away.
+type candidates []candidate
+
+func (c candidates) Len() int { return len(c) }
+func (c candidates) Less(x, y int) bool {
+	return c[x].at < c[y].at || c[x].at == c[y].at && c[x].i < c[y].i
+}
+func (c candidates) Swap(x, y int) { c[x], c[y] = c[y], c[x] }
+func (c *candidates) Push(x any)   { *c = append(*c, x.(candidate)) }
+func (c *candidates) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+func (p *pass) shapeOf(j *Job, zone string) shape {
+	return shape{j.Need(), j.Spec.Spot, j.Spec.Zone + "/" + zone, strings.Join(j.Spec.Types, "/")}
+}
+
+// candidatesFor gives the machines that may take a task of j, in a zone if one is named.
+// Jobs of one shape share them through the pass, so that many of them cost little more
+// than one.
+func (p *pass) candidatesFor(j *Job, zone string) *candidates {
+	key := p.shapeOf(j, zone)
+	if c := p.shapes[key]; c != nil {
+		return c
 	}
-	var list []candidate
+	c := new(candidates)
 	for i, m := range p.use {
 		if zone != "" && m.Zone != zone || m.Errors > 0 || !p.allowed(j, m) {
 			continue
 		}
-		if t := p.roomAt(i, need); t < clock.Forever {
-			list = append(list, candidate{i, t})
+		if t := p.roomAt(i, key.need); t < clock.Forever {
+			*c = append(*c, candidate{i, t})
 		}
 	}
-	held, mine := j.Zones(nil), map[int]int{}
-	for range len(j.Queue) {
-		best := -1
-		for k, c := range list {
-			if (best < 0 || cmp.Or(cmp.Compare(c.at, list[best].at), cmp.Compare(c.i, list[best].i)) < 0) && ZoneAllows(j, held, p.use[c.i].Zone) {
-				best = k
-			}
+	heap.Init(c)
+	p.shapes[key] = c
+	return c
+}
+
+// bookings picks a machine for each task of j, and tells when it will have the room.
+func (p *pass) bookings(j *Job, need Need, zone string) (picks []int, at []Micros) {
+	list := p.candidatesFor(j, zone)
+	held, mine := j.Zones(nil), map[int]Need{}
+	var aside candidates
+	for len(picks) < j.toBook() && len(*list) > 0 {
+		c := heap.Pop(list).(candidate)
+		if !ZoneAllows(j, held, p.use[c.i].Zone) {
+			aside = append(aside, c)
+			continue
 		}
-		if best < 0 || list[best].at == clock.Forever {
-			return nil, nil
+		if now := p.roomAt(c.i, need.Add(mine[c.i])); now > c.at {
+			if now < clock.Forever {
+				heap.Push(list, candidate{c.i, now})
+			} else {
+				aside = append(aside, c)
+			}
+			continue
 		}
-		c := &list[best]
 		picks, at = append(picks, c.i), append(at, c.at)
+		mine[c.i] = mine[c.i].Add(need)
 		if held != nil {
 			held[p.use[c.i].Zone]++
 		}
-		mine[c.i]++
-		more := need
-		for range mine[c.i] {
-			more = more.Add(need)
-		}
-		c.at = p.roomAt(c.i, more)
+		heap.Push(list, c)
+	}
+	for _, c := range aside {
+		heap.Push(list, c)
+	}
+	if len(picks) == 0 || j.Gang() && len(picks) < j.toBook() {
+		delete(p.shapes, p.shapeOf(j, zone)) // what was tried is in its times
+		return nil, nil
 	}
 	return picks, at
 }
--- a/internal/sched/booking_test.go
+++ b/internal/sched/booking_test.go
@@ -116,3 +116,56 @@
 		}
 	}
 }
+
+// crowded is a full fleet with accelerators, and gangs and arrays that wait.
+func crowded(machines int) *Input {
+	in := &Input{Now: 1000 * clock.Second, Fresh: 60 * clock.Second, Teams: map[string]*Team{"t": {Name: "t"}}, Rates: map[string]float64{"g": 0.5},
+		MaxTasks: 1000, Patience: 60 * clock.Second}
+	attempts := uint64(0)
+	in.Attempt = func() uint64 { attempts++; return attempts }
+	for i := range machines {
+		m := onMachine(i)
+		m.Heard = in.Now
+		in.Machines = append(in.Machines, m)
+		for k := range 4 {
+			j := accelerate(fmt.Sprintf("r-%d-%d", i, k), wire.KindArray, 1, 1, 900, Micros(110+(i*7+k*13)%90))
+			j.Queue = nil
+			Attach(&Placement{Job: j, Index: 0, Task: wire.TaskID(j.ID, 0), Machine: m, Need: j.Need(), Team: "t", Priority: 1,
+				Image: "i", Running: 950 * clock.Second, SentAt: 950 * clock.Second}, in.Teams)
+		}
+	}
+	for i := range machines / 5 {
+		kind, gpus, tasks := wire.KindGang, 2.0, 1<<(i%3)
+		switch i % 4 {
+		case 1:
+			gpus = 4
+		case 2:
+			kind, gpus, tasks = wire.KindArray, 1, 20
+		}
+		j := accelerate(fmt.Sprintf("w-%d", i), kind, tasks, gpus, Micros(900+i%100), 90)
+		j.Starts = []Micros{j.Ready + 25*clock.Second}
+		j.StartBy = j.Starts[0]
+		in.Jobs = append(in.Jobs, j)
+	}
+	return in
+}
+
+// BenchmarkCrowded is a pass with bookings that finds hardly any room, in the usual order
+// and under overload.
+func BenchmarkCrowded(b *testing.B) {
+	for _, n := range []int{900, 1800, 2700} {
+		for _, over := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d-%v", n, over), func(b *testing.B) {
+				in := crowded(n)
+				if over {
+					due := &Due{Share: 1e9}
+					in.Due = func(*Job) *Due { return due }
+				}
+				Plan(in)
+				for b.Loop() {
+					Plan(in)
+				}
+			})
+		}
+	}
+}
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -63,6 +63,10 @@
 		return 0
 	}
 	slices.SortStableFunc(jobs, func(a, b *Job) int {
+		if a.overdue(now) && b.overdue(now) && a.urgency(now) == b.urgency(now) {
+			// The oldest first, or the largest would stay behind small ones for ever.
+			return cmp.Or(cmp.Compare(a.Ready, b.Ready), cmp.Compare(a.ID, b.ID))
+		}
 		return cmp.Or(
 			cmp.Compare(a.urgency(now), b.urgency(now)),
 			cmp.Compare(b.Priority, a.Priority),
@@ -230,6 +234,7 @@
 
 	keeps  [][]booking // by machine
 	ends   [][]ending
+	shapes map[shape]*candidates
 	booked int // tasks that room is kept for
 
 	round int // of those under overload: see placeShares
@@ -329,8 +334,8 @@
 		rest[j] = j.rest(p.Now)
 	}
 	slices.SortStableFunc(jobs, func(a, b *Job) int {
-		if o := cmp.Compare(b2i(b.overdue(p.Now)), b2i(a.overdue(p.Now))); o != 0 {
-			return o
+		if x, y := a.overdue(p.Now), b.overdue(p.Now); x || y {
+			return cmp.Or(cmp.Compare(b2i(y), b2i(x)), cmp.Compare(a.Ready, b.Ready))
 		}
 		if a.Turn.Needed && b.Turn.Needed {
 			return cmp.Or(cmp.Compare(b2i(b.begun()), b2i(a.begun())), cmp.Compare(a.Turn.Share, b.Turn.Share))
@@ -449,7 +454,6 @@
 	if !team.Allows(j.Need()) || !p.entitled(j) {
 		return
 	}
-	p.unbook(j)
 	held, taste := j.Zones(nil), !j.Service() && j.overdue(p.Now)
 	p.warm = warm
 	p.scoreAll(j, "")
@@ -470,6 +474,7 @@
 		for _, v := range victims {
 			p.stop(v, 0)
 		}
+		p.unbook(j) // what is left books anew
 		p.place(j, i, p.Attempt())
 		if taste {
 			return // it has begun; the rest waits as ever
@@ -916,13 +921,13 @@
 	if !team.Allows(all) {
 		return
 	}
-	p.unbook(j)
 	zones := []string{""}
 	if j.Spec.OneZone {
 		zones = p.allZones()
 	}
 	for _, zone := range zones {
 		if picks := p.gangPicks(j, n, zone, warm); picks != nil {
+			p.unbook(j)
 			attempt := p.Attempt()
 			j.GangAttempt = attempt
 			for _, i := range picks {
@@ -951,12 +956,15 @@
 // gangPicks finds a machine for each of n tasks, in the given zone if one is
 // named, without changing the model.
 func (p *pass) gangPicks(j *Job, n int, zone string, warm bool) []int {
-	saved := slices.Clone(p.room)
-	defer func() { p.room = saved }()
 	held := map[string]int{}
 	p.warm = warm
 	p.scoreAll(j, zone)
 	var picks []int
+	defer func() {
+		for _, i := range picks { // what was tried
+			p.room[i] = p.room[i].Add(j.Need())
+		}
+	}()
 	for range n {
 		i, victims := p.choose(j, held)
 		if i < 0 || victims != nil { // a gang waits for room instead
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -67,6 +67,12 @@
 // rest is left to workers and health checks.
 const userShare = 80
 
+// workerShare is the percentage up to which workers keep their connections. Beyond it each
+// is closed with its answer and made anew for the next report: a fleet of more machines
+// than this node has sockets would otherwise take them all, and users would be shed for as
+// long as it stands. Found at 1.5 times a deployment of 1,800 machines and 2,500 sockets.
+const workerShare = 60
+
 // ServeHTTP routes by hand: the paths are few, and job ids need no decoding.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.Path
@@ -223,6 +229,9 @@
 }
 
 func (s *Server) report(w http.ResponseWriter, r *http.Request) {
+	if s.open.Load() > s.limit*workerShare/100 {
+		w.Header().Set("Connection", "close")
+	}
 	body, ok := read(w, r)
 	if !ok {
 		return
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -57,6 +57,20 @@
 	done(store.Refused, nil)
 }
 
+// TestWorkersMakeRoom: beyond their part of the sockets, workers are answered and their
+// connections closed, so that a fleet larger than the node's sockets leaves room for users.
+func TestWorkersMakeRoom(t *testing.T) {
+	s := New(&owner{}, 10)
+	for open, want := range map[int64]string{5: "", 7: "close"} {
+		s.open.Store(open)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/checkin", strings.NewReader("x")))
+		if got := w.Header().Get("Connection"); got != want {
+			t.Errorf("%d of 10 sockets: Connection %q, want %q", open, got, want)
+		}
+	}
+}
+
 type owner struct {
 	mu   sync.Mutex
 	core *controller.Core
