--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -85,7 +85,7 @@
 
 	stateSeen Micros // last answer of the state service
 	peers     map[string]*peerInfo
-	strays    map[string]Micros // workers that reported while not leading
+	strays    map[string]*stray // workers that reported while not leading
 	isReady   bool
 	catalog   []wire.MachineType
 	intake    intake
@@ -165,7 +165,7 @@
 func NewAt(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64, speaks int) *Core {
 	c := &Core{env: env, cfg: cfg, pol: pol, accepted: map[string]bool{}, levelsRead: -clock.Forever,
 		up:    upgrade{speaks: speaks, level: LevelPlaces, peers: map[string]int{}},
-		peers: map[string]*peerInfo{}, strays: map[string]Micros{}, book: book(cfg)}
+		peers: map[string]*peerInfo{}, strays: map[string]*stray{}, book: book(cfg)}
 	c.served = c.newServed()
 	c.purse = admit.NewPurse(c.book, c.submitLimits())
 	c.intake.queue = admit.NewQueue[*submission](c.book.Len(),
@@ -298,10 +298,11 @@
 func (c *Core) self(kind fb.Kind) *peer.Msg {
 	now := c.env.Now()
 	reports := uint32(0)
-	for id, at := range c.strays {
-		if now-at < 3*clock.Second {
-			reports++
-		} else {
+	for id, s := range c.strays {
+		if now-s.at < 3*clock.Second && s.relayed == 0 {
+			reports++ // those that are handed on, the leader hears
+		}
+		if now-s.at > 2*c.cfg.WorkerLease() {
 			delete(c.strays, id)
 		}
 	}
@@ -357,6 +358,8 @@
 		c.statusHere(m.Job, answer)
 	case fb.KindCancel:
 		c.cancelHere(m.Job, answer)
+	case fb.KindReport:
+		c.onRelayed(m, reply)
 	case fb.KindSubmit:
 		job, err := wire.DecodeJob(m.Body)
 		if err != nil || !c.stateOK() {
--- /dev/null
+++ b/internal/controller/relay.go
@@ -0,0 +1,94 @@
+package controller
+
+import (
+	"lilacthread/internal/clock"
+	"lilacthread/internal/peer"
+	"lilacthread/wire"
+	"lilacthread/wire/fb"
+)
+
+// A worker may reach this node and not the leader, while this node reaches the leader: two
+// zones apart with a third between them. Sent to the leader it tries, fails and is back,
+// until its lease ends. From then on this node hands its reports on and the answers back.
+// The leader decides and answers as ever, by the same order of reports; a worker takes an
+// answer with its token from any node, and none later than 4 s.
+
+// stray is a worker that reported here while this node did not lead.
+type stray struct {
+	at      Micros // last
+	sent    Micros // when it was last sent to the leader; 0: never
+	leader  string // which
+	relayed Micros // since when its reports are handed on; 0: they are not
+}
+
+const (
+	// relayTime is how long the leader's answer to a report that was handed on is awaited.
+	relayTime = 2 * clock.Second
+	// relayFor is how long reports are handed on before the worker tries the leader again.
+	relayFor = 30 * clock.Second
+)
+
+// TakeReport handles a worker's report at whichever node it comes to.
+func (c *Core) TakeReport(r *wire.Report, reply func(ReportAnswer)) {
+	leader := c.lead.Leader()
+	if c.lead.Leading() || leader == "" || !c.relays(r, leader) {
+		a := c.OnReport(r)
+		if s := c.strays[r.Machine]; s != nil && a.Code == 421 {
+			s.sent, s.leader, s.relayed = c.env.Now(), a.Leader, 0
+		}
+		reply(a)
+		return
+	}
+	c.strays[r.Machine].at = c.env.Now()
+	m := c.self(fb.KindReport)
+	m.Body = wire.Encode(r)
+	c.env.Ask(leader, m, relayTime, func(a *peer.Msg) {
+		answer := ReportAnswer{Code: 503}
+		if a != nil && a.Code == 200 && wire.Decode(a.Body, &answer.Body) == nil {
+			answer.Code = 200
+		}
+		if s := c.strays[r.Machine]; s != nil && answer.Code != 200 {
+			s.relayed = 0
+		}
+		reply(answer)
+	})
+}
+
+// relays reports whether a worker's report should be handed on to the leader, which this
+// node does reach: the worker has spoken to it in this term, or was sent to it less than a
+// lease ago, and is here all the same.
+func (c *Core) relays(r *wire.Report, leader string) bool {
+	now, p := c.env.Now(), c.peers[leader]
+	if p == nil || now-p.at > 5*clock.Second/2 || c.up.peers[leader] < LevelGroups {
+		return false
+	}
+	s := c.strays[r.Machine]
+	if s == nil {
+		s = new(stray)
+		c.strays[r.Machine] = s
+	}
+	switch {
+	case s.relayed > 0:
+	case p.term > 0 && r.Token == p.term && (s.sent == 0 || now-s.sent > relayFor), s.leader == leader && s.sent > 0 && now-s.sent < c.cfg.WorkerLease():
+		s.relayed = now
+	default:
+		return false
+	}
+	return now-s.relayed < relayFor
+}
+
+// onRelayed answers a report that a peer hands on.
+func (c *Core) onRelayed(m *peer.Msg, reply func(*peer.Msg)) {
+	a := ReportAnswer{Code: 400}
+	if r, err := wire.DecodeReport(m.Body); err == nil {
+		a = ReportAnswer{Code: 503}
+		if c.lead.Leading() {
+			a = c.OnReport(r)
+		}
+	}
+	out := c.self(fb.KindAnswer)
+	if out.Code = a.Code; a.Code == 200 {
+		out.Body = wire.Encode(&a.Body)
+	}
+	reply(out)
+}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -21,7 +21,12 @@
 func (c *Core) OnReport(r *wire.Report) ReportAnswer {
 	now := c.env.Now()
 	if !c.lead.Leading() {
-		c.strays[r.Machine] = now
+		s := c.strays[r.Machine]
+		if s == nil {
+			s = new(stray)
+			c.strays[r.Machine] = s
+		}
+		s.at = now
 		if c.lead.Leader() == "" {
 			return ReportAnswer{Code: 503}
 		}
--- a/internal/peer/msg.go
+++ b/internal/peer/msg.go
@@ -98,7 +98,7 @@
 	if body := t.BodyBytes(); body != nil {
 		m.Body = append([]byte(nil), body...)
 	}
-	if m.Kind > fb.KindAnswer {
+	if m.Kind > fb.KindReport {
 		return nil, errFrame
 	}
 	return m, nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -42,7 +42,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(sample().Encode())
 	f.Fuzz(func(t *testing.T, frame []byte) {
-		if m, err := Decode(frame); err == nil && m.Kind > fb.KindAnswer {
+		if m, err := Decode(frame); err == nil && m.Kind > fb.KindReport {
 			t.Fatal("unknown kind let through")
 		}
 	})
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -21,7 +21,7 @@
 spot_wait_s = 5.0         # expected wait that justifies a spot machine
 move_period_s = 600.0     # a replica moves once in this time on average at most
 emptying = 0.05           # share of the machines, and two, that may empty at once
-begin_s = 120.0           # work that has not begun by then goes before all but production; 0: never
+begin_s = 150.0           # work that has not begun by then goes before all but production; 0: never
 patience_s = 60.0         # jobs this much younger may go first where their image is
 
 # Admission under overload.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -242,7 +242,7 @@
 		problem(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	a, ok := wait(s, r, 3*time.Second, func(c *controller.Core, reply func(controller.ReportAnswer)) { reply(c.OnReport(rep)) })
+	a, ok := wait(s, r, 3*time.Second, func(c *controller.Core, reply func(controller.ReportAnswer)) { c.TakeReport(rep, reply) })
 	switch {
 	case !ok:
 		problem(w, http.StatusServiceUnavailable, "busy")
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -185,7 +185,7 @@
 }
 
 // troubles are the verbs that make something go wrong, for a while or at once.
-var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true,
+var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true, "apart": true,
 	"refuse": true, "outage": true, "late-txn": true, "lost-answer": true, "late-order": true, "slow-reports": true,
 	"late-rent": true, "no-boot": true, "hang": true, "deaf": true, "copies": true, "reborn": true, "sick": true,
 	"notice": true, "take": true, "wave": true, "upgrade": true}
@@ -395,6 +395,15 @@
 				w.After(span("for", 20), func() { w.SetCut(x.id, n.name, None) })
 			}
 		}
+	case "apart": // a node and a share of the machines can't reach each other
+		return func() {
+			n := s.node(a.word(0)).name
+			ids := sortedKeys(w.Cloud.Machines)
+			for _, id := range ids[:int(a.num("share", 0.5)*float64(len(ids)))] {
+				w.SetCut(n, id, Hold)
+				w.After(span("for", 20), func() { w.SetCut(n, id, None) })
+			}
+		}
 	case "refuse":
 		return func() {
 			n := s.node(a.word(0)).name
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -203,8 +203,7 @@
 			if err != nil {
 				panic(err)
 			}
-			a := n.core.OnReport(got)
-			respond(func() { answered(a) })
+			n.core.TakeReport(got, func(a controller.ReportAnswer) { respond(func() { answered(a) }) })
 		})
 	}, func() { x.do(other) })
 }
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -171,7 +171,7 @@
 			if err != nil {
 				panic(err)
 			}
-			n.core.OnReport(got)
+			n.core.TakeReport(got, func(controller.ReportAnswer) {})
 		}
 	})
 }
--- a/wire/fb/Kind.go
+++ b/wire/fb/Kind.go
@@ -12,6 +12,7 @@
 	KindCancel Kind = 2
 	KindSubmit Kind = 3
 	KindAnswer Kind = 4
+	KindReport Kind = 5
 )
 
 var EnumNamesKind = map[Kind]string{
@@ -20,6 +21,7 @@
 	KindCancel: "Cancel",
 	KindSubmit: "Submit",
 	KindAnswer: "Answer",
+	KindReport: "Report",
 }
 
 var EnumValuesKind = map[string]Kind{
@@ -28,6 +30,7 @@
 	"Cancel": KindCancel,
 	"Submit": KindSubmit,
 	"Answer": KindAnswer,
+	"Report": KindReport,
 }
 
 func (v Kind) String() string {
