--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -596,7 +596,7 @@
 			return
 		}
 		p.cost[i] = delay + p.packing(j, i)
-		if !j.Service() && clock.FromSeconds(delay) > j.startSlack(p.Now) {
+		if clock.FromSeconds(delay) > j.startSlack(p.Now) {
 			p.cost[i] += missedStart
 		}
 	}
@@ -677,7 +677,7 @@
 	switch share := p.share[i]; {
 	case j.Service():
 		cost = 2 * (1 - share)
-	case share > 0 && !m.Spot:
+	case share > 0 && !m.Spot && !j.Gang(): // a gang is not stopped for a service
 		cost = room / m.Type.CPUs
 	case p.frail && !m.Spot:
 		cost = room / m.Type.CPUs
