Machines whose report is overdue are asked; dead ones are returned after two questions

A machine whose report is overdue is asked by an order without commands; without two answers, and long enough to have found a controller that hands its reports on, it passes for silent. With reports every 3 s and less nothing changes.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -468,6 +468,7 @@
 	if c.Serving() {
 		c.tendMachines(now)
 		c.tendEars(now)
+		c.seekSilent(now)
 		c.sendOrders()
 		c.wake()
 	}
--- a/internal/controller/ears.go
+++ b/internal/controller/ears.go
@@ -45,6 +45,37 @@
 	}
 }
 
+// muteAfter is how many questions to a machine whose report is overdue stay without an answer
+// before it passes for silent.
+const muteAfter = 2
+
+// overdue is how long a worker that reaches its controller is never silent.
+func (c *Core) overdue() Micros { return 3 * c.cfg.ReportEvery() / 2 }
+
+// mute reports whether a machine passes for silent before it has missed several reports: it
+// does not answer, and would have found another controller by now that hands its reports on.
+func (c *Core) mute(m *sched.Machine, now Micros) bool {
+	return m.Mute >= muteAfter && now-m.Heard > c.overdue()+3*responseLife/2
+}
+
+// seekSilent asks machines whose report is overdue. Where reports come seldom, waiting for
+// several of them would leave the replicas of a dead machine away for half a minute; one
+// that only its reports don't come from answers.
+func (c *Core) seekSilent(now Micros) {
+	late := c.overdue()
+	for _, m := range c.order {
+		if !m.Up || now-m.Heard < late || m.Mute >= muteAfter || now-m.Asked < responseLife/2 || !c.mayOrder(m) {
+			continue
+		}
+		m.Asked = now
+		c.question(m, func(ok bool, _ *wire.Report) {
+			if m.Mute++; ok || m.Heard > now {
+				m.Mute = 0
+			}
+		})
+	}
+}
+
 // mayOrder reports whether an order may be sent to the machine now.
 func (c *Core) mayOrder(m *sched.Machine) bool {
 	return !m.Ordering && c.ordering < c.cfg.OrderLimit() && c.Serving() && c.machines[m.ID] == m && !m.Releasing && m.Addr != ""
@@ -72,7 +103,7 @@
 // is ever silent, the machine may have been started anew and count from the beginning: it
 // is asked itself, since no report can tell the two apart.
 func (c *Core) older(m *sched.Machine, r *wire.Report, now Micros) {
-	if now-m.Heard < 3*c.cfg.ReportEvery()/2 || now-m.Doubted < c.cfg.ReportEvery() || !c.mayOrder(m) {
+	if now-m.Heard < c.overdue() || now-m.Doubted < c.cfg.ReportEvery() || !c.mayOrder(m) {
 		return
 	}
 	m.Doubted = now
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -178,7 +178,7 @@
 			if m.Spot {
 				spot++
 			}
-			if now-m.Heard > quiet {
+			if now-m.Heard > quiet || c.mute(m, now) {
 				silent++
 			}
 			if m.Ear.Deaf {
@@ -210,7 +210,7 @@
 			why = "not listed"
 		case !m.Up && settled && now-m.Since > Micros(float64(boot)*c.pol.BootFactor)+clock.FromSeconds(c.cfg.Params.Cloud.ListLag):
 			why = "never came up"
-		case m.Up && now-m.Heard > quiet && settled && (silent*4 <= up || silent == 1):
+		case m.Up && (now-m.Heard > quiet || c.mute(m, now)) && settled && (silent*4 <= up || silent == 1):
 			// Returning it proves at once that its tasks are gone; but when many
 			// are silent the fault is more likely ours.
 			why = "silent"
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -70,7 +70,7 @@
 		return ReportAnswer{Code: 503}
 	}
 	// Only what is new shows that workers reach this node; late copies don't.
-	c.lastReport = now
+	c.lastReport, m.Mute = now, 0
 	if r.Session == m.Session && r.Seq < m.OrderSeq {
 		// Written before the worker executed an order whose answer is known: what
 		// it lacks may have started since. It only shows that the worker lives.
@@ -81,10 +81,10 @@
 		m.Up, m.IdleSince = true, now
 		slog.Debug("machine up", "machine", m.ID, "age", (now - m.Since).Seconds())
 	}
-	moved, heard := r.Session > m.Session, m.Heard
+	moved, was, heard := r.Session > m.Session, m.Session, m.Heard
 	m.Session, m.Seq, m.Heard, m.Addr = r.Session, r.Seq, now, r.Addr
 	if moved {
-		if m.Session > 0 && len(m.Places) > 0 {
+		if was > 0 && len(m.Places) > 0 {
 			slog.Info("worker began a new session", "machine", m.ID, "session", r.Session, "tasks", len(m.Places),
 				"heard", (now - heard).Seconds(), "answered", (now - m.Answered).Seconds())
 		}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -167,6 +167,8 @@
 	Away      Micros      // when it was last sent away, to look for a successor
 	Greeted   bool        // a report of it under an older token was answered in this term
 	LostOrder bool        // the latest order was not answered
+	Mute      int         // questions without an answer since its last report
+	Asked     Micros      // when the latest of those was put
 	Doubted   Micros      // when it was last asked whether it was started anew
 	Anew      bool        // it was
 
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -106,6 +106,12 @@
 		if r.URL.Path == "/orders" && !decode(w, r, &o) {
 			return
 		}
+		deaf := false
+		l.Do(func(w *World) { deaf = w.deaf[x.id] })
+		if deaf { // nothing of it arrives
+			time.Sleep(4 * time.Second)
+			return
+		}
 		status, report := http.StatusServiceUnavailable, (*wire.Report)(nil)
 		l.Do(func(*World) {
 			switch {
@@ -133,6 +139,7 @@
 func (l *Live) report(node string, rep *wire.Report, answered func(controller.ReportAnswer)) {
 	c := l.nodes[node]
 	go func() {
+		l.copyLater(rep)
 		var a controller.ReportAnswer
 		status, raw, _, err := c.Call(http.MethodPost, "/checkin", rep, &a.Body, 4*time.Second)
 		a.Code = status
@@ -140,10 +147,31 @@
 		if err == nil && status == http.StatusMisdirectedRequest && wire.Decode(raw, &to) == nil {
 			a.Leader = to.ReportTo
 		}
+		deaf := false
+		l.Do(func(w *World) { deaf = w.deaf[rep.Machine] })
+		if deaf { // the worker waits for an answer in vain
+			time.Sleep(4 * time.Second)
+			a = controller.ReportAnswer{}
+		}
 		l.Do(func(*World) { answered(a) })
 	}()
 }
 
+// copyLater posts a late copy of a report to some controller, if copies are on.
+func (l *Live) copyLater(rep *wire.Report) {
+	var node string
+	var after time.Duration
+	l.Do(func(w *World) {
+		if c := w.copies; c != nil && c.rng.Float64() < c.share {
+			node = w.Nodes[c.rng.IntN(len(w.Nodes))].name
+			after = time.Duration(c.by/10+Micros(c.rng.Int64N(int64(c.by)))) * time.Microsecond
+		}
+	})
+	if node != "" {
+		time.AfterFunc(after, func() { l.nodes[node].Call(http.MethodPost, "/checkin", rep, nil, 4*time.Second) })
+	}
+}
+
 func respond(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/msgpack")
 	w.WriteHeader(status)
--- a/internal/sim/real_test.go
+++ b/internal/sim/real_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -103,6 +104,36 @@
 // within 50 ms on the same addresses, with connections of users, peers and workers half
 // open: all that was accepted is done, under the rules.
 func TestRealProcesses(t *testing.T) {
+	playReal(t, func(*deployment, int) {})
+}
+
+// TestRealTroubles does the same while machines are deaf for longer than a lease, copies of
+// reports come seconds later at any controller, and machines start anew.
+func TestRealTroubles(t *testing.T) {
+	playReal(t, func(d *deployment, turn int) {
+		d.live.Do(func(w *World) {
+			ids := sortedKeys(w.Cloud.Machines)
+			if turn == 1 {
+				w.copies = &copying{0.7, 7 * sec, rand.New(rand.NewPCG(5, 5))}
+			}
+			if len(ids) == 0 {
+				return
+			}
+			id := ids[turn%len(ids)]
+			switch turn % 120 {
+			case 40:
+				w.deaf[id] = true
+				w.After(8*sec, func() { delete(w.deaf, id) })
+			case 90:
+				w.Cloud.Machines[id].Reborn()
+			}
+		})
+	})
+}
+
+// playReal runs jobs to their end while processes are killed and the given trouble is made
+// some thirty times a second.
+func playReal(t *testing.T, trouble func(d *deployment, turn int)) {
 	d := deploy(t)
 	jobs := make([]*wire.Job, 40)
 	accepted, over := map[string]bool{}, map[string]bool{}
@@ -114,6 +145,7 @@
 	begin, kills, turn := time.Now(), 0, 0
 	for time.Since(begin) < 60*time.Second && len(over) < len(jobs) {
 		turn++
+		trouble(d, turn)
 		if turn%8 == 0 && time.Since(begin) < 15*time.Second {
 			victim := turn / 8 % len(d.nodes)
 			if turn%16 == 0 { // the leader
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -187,7 +187,7 @@
 // troubles are the verbs that make something go wrong, for a while or at once.
 var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true, "apart": true,
 	"refuse": true, "outage": true, "late-txn": true, "lost-answer": true, "late-order": true, "slow-reports": true,
-	"late-rent": true, "no-boot": true, "hang": true, "deaf": true, "copies": true, "reborn": true, "sick": true,
+	"late-rent": true, "no-boot": true, "hang": true, "deaf": true, "dead": true, "copies": true, "reborn": true, "sick": true,
 	"notice": true, "take": true, "wave": true, "upgrade": true}
 
 // verb gives what a line does, and tells the checker until when its trouble lasts.
@@ -456,6 +456,8 @@
 			w.copies = &copying{a.num("share", 0.5), span("by", 20), rand.New(rand.NewPCG(uint64(w.now), 4))}
 			w.After(span("for", 60), func() { w.copies = nil })
 		}
+	case "dead": // a machine stops with all that is on it; the list goes on naming it
+		return func() { s.worker(a).die() }
 	case "reborn": // a machine is back at once, and counts from the beginning
 		return func() { s.worker(a).Reborn() }
 	case "sick":
