--- a/internal/controller/ears.go
+++ b/internal/controller/ears.go
@@ -92,6 +92,9 @@
 		}
 		c.ordering--
 		m.Ordering = false
+		if o == store.OK || o == store.Failed {
+			m.Lives = c.env.Now()
+		}
 		if c.machines[m.ID] == m {
 			done((o == store.OK || o == store.Failed) && r != nil && r.Machine == m.ID, r)
 		}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -37,6 +37,9 @@
 	}
 	c.ordering++
 	m.Ordering = true
+	if len(start) > 0 {
+		m.Lives = now
+	}
 	term, session := c.term, m.Session
 	orders := &wire.Orders{Token: term, Session: session, Commands: append(stop, start...)}
 	c.env.Order(m.Addr, orders, func(o store.Outcome, r *wire.Report) {
@@ -55,6 +58,7 @@
 		}
 		if o != store.Refused {
 			m.Ear.Proof()
+			m.Lives = c.env.Now()
 		}
 		for _, cmd := range start {
 			if p := m.Places[cmd.Task]; p != nil && p.Attempt == cmd.Attempt && p.Direct {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -476,7 +476,9 @@
 func (c *Core) proveByLease(now Micros) {
 	bound := c.cfg.WorkerLease() + c.cfg.WorkerLease()/500 + c.margin()
 	for _, m := range c.order {
-		if m.Acked && m.Busy() && now-m.Answered > bound {
+		// A machine that was started anew has a whole lease from then on, though no report of
+		// it was answered. What it can hold came by an order since.
+		if m.Acked && m.Busy() && now-max(m.Answered, m.Lives) > bound {
 			slog.Info("worker's lease has ended", "machine", m.ID)
 			for _, p := range places(m) {
 				c.leave(p)
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -154,6 +154,7 @@
 	Acked    bool   // has acknowledged our token
 	Heard    Micros
 	Answered Micros // receipt of the last report that we answered
+	Lives    Micros // when it last answered an order, or one that may start something was sent
 	Notice   Micros // when the cloud takes it; 0: no notice
 
 	Places map[string]*Placement
