--- a/internal/controller/ears.go
+++ b/internal/controller/ears.go
@@ -55,15 +55,27 @@
 // mute reports whether a machine passes for silent before it has missed several reports: it
 // does not answer, and would have found another controller by now that hands its reports on.
 func (c *Core) mute(m *sched.Machine, now Micros) bool {
-	return m.Mute >= muteAfter && now-m.Heard > c.overdue()+3*responseLife/2
+	return m.Mute >= muteAfter && now-m.Heard > c.overdue()+foundBy
 }
 
+// foundBy is about what a worker takes to find another controller.
+const foundBy = 3 * responseLife / 2
+
+// quiet is how long a machine may be silent before it is returned, asked or not.
+func (c *Core) quiet() Micros { return Micros(c.pol.SilentReports * float64(c.cfg.ReportEvery())) }
+
 // seekSilent asks machines whose report is overdue. Where reports come seldom, waiting for
 // several of them would leave the replicas of a dead machine away for half a minute; one
 // that only its reports don't come from answers.
 func (c *Core) seekSilent(now Micros) {
 	late := c.overdue()
+	if late+foundBy >= c.quiet() {
+		return // reports come so often that several missed ones tell sooner
+	}
 	for _, m := range c.order {
+		if c.ordering >= c.cfg.OrderLimit()/4 {
+			return // a whole zone may be silent, and launches need orders too
+		}
 		if !m.Up || now-m.Heard < late || m.Mute >= muteAfter || now-m.Asked < responseLife/2 || !c.mayOrder(m) {
 			continue
 		}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -168,7 +168,7 @@
 // drained, or never up.
 func (c *Core) tendMachines(now Micros) {
 	up, silent, deaf, spot := 0, 0, 0, 0
-	quiet := Micros(c.pol.SilentReports * float64(c.cfg.ReportEvery()))
+	quiet := c.quiet()
 	// After a takeover no machine has reported yet, and none is late for that:
 	// a new leader that judged by silence alone would return the whole fleet.
 	settled := now-c.electedAt > 3*c.cfg.WorkerLease()/2
