A machine's answer is held against what was known when it was asked

Found on re-reading: whether a machine was started anew was judged by the counts known when its answer came. A report that it wrote after that answer may overtake it; the machine, alive and busy, then passed for one started anew and was returned with its work.

--- a/internal/controller/ears.go
+++ b/internal/controller/ears.go
@@ -122,8 +122,10 @@
 		return
 	}
 	m.Doubted = now
+	// What was known when it was asked: a report that it wrote after its answer may come before.
+	session, seq := m.Session, m.Seq
 	c.question(m, func(ok bool, a *wire.Report) {
-		if ok && a.Token <= c.term && (a.Session < m.Session || a.Session == m.Session && a.Seq < m.Seq) {
+		if ok && a.Token <= c.term && (a.Session < session || a.Session == session && a.Seq < seq) {
 			c.startedAnew(m, a)
 		}
 	})
