Read once more: one way to send an order, one renting loop, nothing kept that follows

Questions to machines and orders had the same bookkeeping twice (sendTo serves both); headroom and renting ahead the same loop (upTo); the peers' and the simulator's checks, draws of copies and the look-up of a stray stood twice. Gone, since it follows from the rest: the latest service beside the latest job of a class, a question under way beside an order under way. The policy is parsed once at start. A restored group works its time out once.

Tests keep their assertions; one names a renamed field. No decision changes, but that renting ahead counts the task it asks for as headroom does, which matters for the last machine only.

--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -181,7 +181,7 @@
 func (c *Core) noteRefused(account int, job *wire.Job) {
 	j := &sched.Job{Spec: job}
 	j.Measure(c.catalog)
-	c.purse.Refused(account, 1, job.ID, j.Size()*float64(job.Tasks), c.env.Now())
+	c.purse.Refused(account, 1, job.ID, j.Whole(), c.env.Now())
 }
 
 // expected is what refused jobs will ask for when they come back, each account's like the
@@ -210,7 +210,7 @@
 		return
 	}
 	leader := c.lead.Leader()
-	if p := c.peers[leader]; p == nil || c.env.Now()-p.at > 2500*clock.Millisecond {
+	if p := c.peers[leader]; p == nil || !p.heard(c.env.Now()) {
 		refuse()
 		return
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -144,14 +144,16 @@
 	admits  shareKind // how much of the state service's changes it takes for submissions
 }
 
+// heard reports whether the peer spoke to this node of late.
+func (p *peerInfo) heard(now Micros) bool { return now-p.at <= 5*clock.Second/2 }
+
 // arrival smooths what a class of jobs asks for: see noteArrival.
 type arrival struct {
 	rate  float64
 	at    Micros // of the rate
 	since Micros // first arrival
 	batch bool
-	job   *sched.Job // the latest service
-	last  *sched.Job // the latest job of any kind
+	last  *sched.Job // the latest job
 }
 
 // New makes a controller that speaks all format levels. Start must be called on
@@ -259,7 +261,7 @@
 		return false
 	}
 	for _, p := range c.peers {
-		if now-p.at < 5*clock.Second/2 {
+		if p.heard(now) {
 			return false
 		}
 	}
--- a/internal/controller/ears.go
+++ b/internal/controller/ears.go
@@ -52,10 +52,11 @@
 // overdue is how long a worker that reaches its controller is never silent.
 func (c *Core) overdue() Micros { return 3 * c.cfg.ReportEvery() / 2 }
 
-// mute reports whether a machine passes for silent before it has missed several reports: it
-// does not answer, and would have found another controller by now that hands its reports on.
-func (c *Core) mute(m *sched.Machine, now Micros) bool {
-	return m.Mute >= muteAfter && now-m.Heard > c.overdue()+foundBy
+// silent reports whether a machine has missed several reports, or passes for silent before
+// that: it does not answer, and would have found another controller by now that hands its
+// reports on.
+func (c *Core) silent(m *sched.Machine, now Micros) bool {
+	return now-m.Heard > c.quiet() || m.Mute >= muteAfter && now-m.Heard > c.overdue()+foundBy
 }
 
 // foundBy is about what a worker takes to find another controller.
@@ -88,28 +89,10 @@
 	}
 }
 
-// mayOrder reports whether an order may be sent to the machine now.
-func (c *Core) mayOrder(m *sched.Machine) bool {
-	return !m.Ordering && c.ordering < c.cfg.OrderLimit() && c.Serving() && c.machines[m.ID] == m && !m.Releasing && m.Addr != ""
-}
-
 // question sends an order without commands: whoever answers hears.
 func (c *Core) question(m *sched.Machine, done func(ok bool, r *wire.Report)) {
-	c.ordering++
-	m.Ordering = true
-	term := c.term
-	c.env.Order(m.Addr, &wire.Orders{Token: term, Session: m.Session, Commands: []wire.Command{}}, func(o store.Outcome, r *wire.Report) {
-		if !c.lead.Leading() || c.term != term {
-			return
-		}
-		c.ordering--
-		m.Ordering = false
-		if o == store.OK || o == store.Failed {
-			m.Lives = c.env.Now()
-		}
-		if c.machines[m.ID] == m {
-			done((o == store.OK || o == store.Failed) && r != nil && r.Machine == m.ID, r)
-		}
+	c.sendTo(m, []wire.Command{}, func(o store.Outcome, r *wire.Report) {
+		done((o == store.OK || o == store.Failed) && r != nil && r.Machine == m.ID, r)
 	})
 }
 
--- a/internal/controller/groups.go
+++ b/internal/controller/groups.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"lilacthread/internal/clock"
 	"lilacthread/internal/fleet"
 	"lilacthread/internal/sched"
 	"lilacthread/wire"
@@ -49,9 +51,6 @@
 // form puts machines of one kind that have no group into groups of their own, and queues
 // those to be written.
 func (c *Core) form(machines []*sched.Machine) {
-	if c.up.level < LevelGroups {
-		return
-	}
 	for part := range slices.Chunk(machines, groupSize(c.limits().ValueBytes())) {
 		// A name of its own: a machine that was returned may appear once more, and the group
 		// that was named after it would be written over. Found by chaos with late copies.
@@ -66,25 +65,22 @@
 
 // saveNew queues the records of machines of one kind that have just been entered.
 func (c *Core) saveNew(machines []*sched.Machine) {
-	c.form(machines)
-	if c.up.level < LevelGroups {
-		for _, m := range machines {
-			c.saveMachine(m, nil)
-		}
+	if c.up.level >= LevelGroups {
+		c.form(machines)
+		return
+	}
+	for _, m := range machines {
+		c.saveMachine(m, nil)
 	}
 }
 
 // saveInGroup queues the record that holds a machine. Its own record of a lower level, if
 // there is one, goes when its group is written and its jobs' records hold its places.
 func (c *Core) saveInGroup(m *sched.Machine, class int, done func()) {
-	g := c.groups[m.ID]
-	if g == nil {
-		if c.machines[m.ID] == m {
-			c.form([]*sched.Machine{m})
-			g = c.groups[m.ID]
-		}
+	if c.groups[m.ID] == nil && c.machines[m.ID] == m {
+		c.form([]*sched.Machine{m})
 	}
-	if g != nil {
+	if g := c.groups[m.ID]; g != nil {
 		c.saveGroup(g, class, done)
 	}
 	if !m.Own {
@@ -144,11 +140,7 @@
 	for i := range rec.After {
 		rec.After[i] = int64((members[i].Since - first.Since).Seconds())
 	}
-	images := make([]string, 0, len(count))
-	for image := range count {
-		images = append(images, image)
-	}
-	slices.SortFunc(images, func(a, b string) int { return cmp.Or(cmp.Compare(count[b], count[a]), strings.Compare(a, b)) })
+	images := slices.SortedFunc(maps.Keys(count), func(a, b string) int { return cmp.Or(cmp.Compare(count[b], count[a]), strings.Compare(a, b)) })
 	for {
 		rec.Images, rec.Sizes, rec.Has = images, nil, nil
 		for _, image := range images {
@@ -181,10 +173,11 @@
 		return
 	}
 	g := &group{key: it.Key}
+	first := Micros(rec.At) - c.env.Wall() + c.env.Now()
 	for i, id := range rec.Machines {
-		since := Micros(rec.At) - c.env.Wall() + c.env.Now()
+		since := first
 		if i < len(rec.After) {
-			since += Micros(rec.After[i]) * 1_000_000
+			since += Micros(rec.After[i]) * clock.Second
 		}
 		m := c.machines[id]
 		if m == nil {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -168,7 +168,6 @@
 // drained, or never up.
 func (c *Core) tendMachines(now Micros) {
 	up, silent, deaf, spot := 0, 0, 0, 0
-	quiet := c.quiet()
 	// After a takeover no machine has reported yet, and none is late for that:
 	// a new leader that judged by silence alone would return the whole fleet.
 	settled := now-c.electedAt > 3*c.cfg.WorkerLease()/2
@@ -178,7 +177,7 @@
 			if m.Spot {
 				spot++
 			}
-			if now-m.Heard > quiet || c.mute(m, now) {
+			if c.silent(m, now) {
 				silent++
 			}
 			if m.Ear.Deaf {
@@ -210,7 +209,7 @@
 			why = "not listed"
 		case !m.Up && settled && now-m.Since > Micros(float64(boot)*c.pol.BootFactor)+clock.FromSeconds(c.cfg.Params.Cloud.ListLag):
 			why = "never came up"
-		case m.Up && (now-m.Heard > quiet || c.mute(m, now)) && settled && (silent*4 <= up || silent == 1):
+		case m.Up && c.silent(m, now) && settled && (silent*4 <= up || silent == 1):
 			// Returning it proves at once that its tasks are gone; but when many
 			// are silent the fault is more likely ours.
 			why = "silent"
@@ -444,8 +443,8 @@
 			continue
 		}
 		in.Headroom += a.now(now) * boot * c.pol.Headroom
-		if a.job != nil {
-			in.Service = a.job
+		if a.last != nil {
+			in.Service = a.last
 		}
 	}
 	if in.Service == nil { // after a takeover: any service stands for its class
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -26,6 +26,32 @@
 	c.toOrder = c.toOrder[:0]
 }
 
+// mayOrder reports whether an order may be sent to the machine now.
+func (c *Core) mayOrder(m *sched.Machine) bool {
+	return !m.Ordering && c.ordering < c.cfg.OrderLimit() && c.Serving() && c.machines[m.ID] == m && !m.Releasing && m.Addr != ""
+}
+
+// sendTo sends an order, perhaps without commands, to a machine that may have one; done runs
+// if the machine and this term are still there then.
+func (c *Core) sendTo(m *sched.Machine, commands []wire.Command, done func(store.Outcome, *wire.Report)) {
+	c.ordering++
+	m.Ordering = true
+	term := c.term
+	c.env.Order(m.Addr, &wire.Orders{Token: term, Session: m.Session, Commands: commands}, func(o store.Outcome, r *wire.Report) {
+		if !c.lead.Leading() || c.term != term {
+			return
+		}
+		c.ordering--
+		m.Ordering = false
+		if o == store.OK || o == store.Failed {
+			m.Lives = c.env.Now()
+		}
+		if c.machines[m.ID] == m {
+			done(o, r)
+		}
+	})
+}
+
 func (c *Core) sendOrder(m *sched.Machine) {
 	now := c.env.Now()
 	if !c.mayOrder(m) || !m.Acked || m.Ear.Deaf || now-m.Heard > c.fresh() {
@@ -35,20 +61,12 @@
 	if len(stop)+len(start) == 0 {
 		return
 	}
-	c.ordering++
-	m.Ordering = true
 	if len(start) > 0 {
 		m.Lives = now
 	}
-	term, session := c.term, m.Session
-	orders := &wire.Orders{Token: term, Session: session, Commands: append(stop, start...)}
-	c.env.Order(m.Addr, orders, func(o store.Outcome, r *wire.Report) {
-		if !c.lead.Leading() || c.term != term {
-			return
-		}
-		c.ordering--
-		m.Ordering = false
-		if c.machines[m.ID] != m || m.Session != session {
+	session := m.Session
+	c.sendTo(m, append(stop, start...), func(o store.Outcome, r *wire.Report) {
+		if m.Session != session {
 			return // all that was on it has left
 		}
 		if o == store.Unknown {
@@ -58,7 +76,6 @@
 		}
 		if o != store.Refused {
 			m.Ear.Proof()
-			m.Lives = c.env.Now()
 		}
 		for _, cmd := range start {
 			if p := m.Places[cmd.Task]; p != nil && p.Attempt == cmd.Attempt && p.Direct {
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -28,6 +28,16 @@
 	relayFor = 30 * clock.Second
 )
 
+// strayOf is what is known of a worker that reports here while this node does not lead.
+func (c *Core) strayOf(machine string) *stray {
+	s := c.strays[machine]
+	if s == nil {
+		s = new(stray)
+		c.strays[machine] = s
+	}
+	return s
+}
+
 // TakeReport handles a worker's report at whichever node it comes to.
 func (c *Core) TakeReport(r *wire.Report, reply func(ReportAnswer)) {
 	leader := c.lead.Leader()
@@ -59,14 +69,10 @@
 // lease ago, and is here all the same.
 func (c *Core) relays(r *wire.Report, leader string) bool {
 	now, p := c.env.Now(), c.peers[leader]
-	if p == nil || now-p.at > 5*clock.Second/2 || c.up.peers[leader] < LevelGroups {
+	if p == nil || !p.heard(now) || c.up.peers[leader] < LevelGroups {
 		return false
 	}
-	s := c.strays[r.Machine]
-	if s == nil {
-		s = new(stray)
-		c.strays[r.Machine] = s
-	}
+	s := c.strayOf(r.Machine)
 	switch {
 	case s.relayed > 0:
 	case p.term > 0 && r.Token == p.term && (s.sent == 0 || now-s.sent > relayFor), s.leader == leader && s.sent > 0 && now-s.sent < c.cfg.WorkerLease():
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -21,12 +21,7 @@
 func (c *Core) OnReport(r *wire.Report) ReportAnswer {
 	now := c.env.Now()
 	if !c.lead.Leading() {
-		s := c.strays[r.Machine]
-		if s == nil {
-			s = new(stray)
-			c.strays[r.Machine] = s
-		}
-		s.at = now
+		c.strayOf(r.Machine).at = now
 		if c.lead.Leader() == "" {
 			return ReportAnswer{Code: 503}
 		}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -358,7 +358,7 @@
 		return
 	}
 	leader := c.lead.Leader()
-	if p := c.peers[leader]; p == nil || c.env.Now()-p.at > 2500*clock.Millisecond {
+	if p := c.peers[leader]; p == nil || !p.heard(c.env.Now()) {
 		c.lookup(id, reply)
 		return
 	}
@@ -570,9 +570,7 @@
 	}
 	a.last = j
 	asked := j.Whole()
-	if j.Service() {
-		a.job = j
-	} else {
+	if !j.Service() {
 		a.batch = true
 		asked *= j.Estimate.Seconds()
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -123,8 +123,7 @@
 			if start == 0 {
 				start = b.Now
 			}
-			left := p.Job.Estimate - p.Job.Tasks[p.Index].Progress
-			b.frees = append(b.frees, free{max(b.Now, start+left), p.Need.On(m.Type), kind, m.Type})
+			b.frees = append(b.frees, free{max(b.Now, start+p.Left()), p.Need.On(m.Type), kind, m.Type})
 		}
 	}
 	slices.SortFunc(b.frees, compareFree)
@@ -371,15 +370,19 @@
 		return
 	}
 	have := b.Spare()
-	need := b.Service.Need()
 	for _, x := range b.bins {
 		if !x.kind.Spot && b.Service.Allows(x.typ, x.kind.Zone, false) {
 			have += x.yield
 		}
 	}
-	for have < b.Headroom {
-		b.left = b.Headroom - have - b.Service.Size()
-		k, ok := b.pick(b.Service, need, nil, clock.Forever)
+	b.upTo(b.Headroom, have, b.Service, nil)
+}
+
+// upTo rents machines that suit a task of j until there are as many CPUs as wanted.
+func (b *buyer) upTo(want, have float64, j *sched.Job, held map[string]int) {
+	for have < want {
+		b.left = want - have - j.Size()
+		k, ok := b.pick(j, j.Need(), held, clock.Forever)
 		if !ok {
 			return
 		}
@@ -393,18 +396,9 @@
 // long. By Little's law the machines for it are known.
 func (b *buyer) ahead() {
 	i := slices.IndexFunc(b.Unplaced, func(u sched.Unplaced) bool { return !u.Job.Service() && u.Job.Prompt(b.Now) })
-	if i < 0 {
-		return
-	}
-	j := b.Unplaced[i].Job
-	for b.supply < b.Load {
-		b.left = b.Load - b.supply
-		k, ok := b.pick(j, j.Need(), j.Zones(nil), clock.Forever)
-		if !ok {
-			return
-		}
-		b.bought[k]++
-		b.supply += b.typ(k.Type).CPUs
+	if i >= 0 {
+		j := b.Unplaced[i].Job
+		b.upTo(b.Load, b.supply, j, j.Zones(nil))
 	}
 }
 
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -27,17 +27,16 @@
 // Ear is what is known of one machine's hearing.
 type Ear struct {
 	Deaf   bool
-	Since  Micros // when the first sign of it came, without a proof since
-	Lost   bool   // its session moved since: nothing of before is on it
+	since  Micros // when the first sign of it came, without a proof since
+	lost   bool   // its session moved since: nothing of before is on it
 	signs  Sign
 	at     Micros // of the latest sign
 	asked  Micros // when it was last asked for a proof
 	silent int    // questions without an answer, since it is deaf
-	asking bool
 }
 
 // Proof notes that the machine executed or answered something.
-func (e *Ear) Proof() { *e = Ear{asking: e.asking} }
+func (e *Ear) Proof() { *e = Ear{} }
 
 // See notes a sign; within the span that follows another of its weight it is taken for
 // the same one, so that repeats and copies weigh nothing. It reports whether the machine
@@ -47,11 +46,11 @@
 		return false
 	}
 	if e.signs == 0 {
-		e.Since = now
+		e.since = now
 	}
 	e.signs, e.at = e.signs+s, now
 	if s == SessionLost {
-		e.Lost = true
+		e.lost = true
 	}
 	if e.Deaf || e.signs < enough {
 		return false
@@ -61,18 +60,18 @@
 }
 
 // Ask reports whether the machine should be asked for a proof now, and notes that it is:
-// soon after a sign, and ever less often while it stays silent.
+// soon after a sign, and ever less often while it stays silent. Whoever asks has one
+// question to a machine under way at a time.
 func (e *Ear) Ask(now Micros) bool {
-	if e.signs == 0 || e.asking || now-e.asked < min(2*clock.Second<<min(e.silent, 4), 20*clock.Second) {
+	if e.signs == 0 || now-e.asked < min(2*clock.Second<<min(e.silent, 4), 20*clock.Second) {
 		return false
 	}
-	e.asked, e.asking = now, true
+	e.asked = now
 	return true
 }
 
 // Answered notes the outcome of a question: a machine that answers hears.
 func (e *Ear) Answered(ok bool) {
-	e.asking = false
 	if ok {
 		e.Proof()
 	} else if e.Deaf {
@@ -86,5 +85,5 @@
 // Hopeless reports whether the machine should be returned: it does not answer, and what
 // ran on it is gone or will be before long, as its lease has not been renewed since.
 func (e *Ear) Hopeless(now, lease Micros) bool {
-	return e.Deaf && e.silent >= questions && (e.Lost || now-e.Since > lease/2)
+	return e.Deaf && e.silent >= questions && (e.lost || now-e.since > lease/2)
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -61,11 +61,16 @@
 	for i, src := range append([]Program{{"default.star", defaults}}, programs...) {
 		thread := &starlark.Thread{Name: src.Name}
 		thread.SetMaxExecutionSteps(1_000_000)
-		globals, err := starlark.ExecFileOptions(&syntax.FileOptions{}, thread, src.Name, src.Text, values)
+		file, prog, err := starlark.SourceProgramOptions(&syntax.FileOptions{}, src.Name, src.Text, values.Has)
 		if err != nil {
 			return nil, fmt.Errorf("policy: %w", err)
 		}
-		place(set, src)
+		globals, err := prog.Init(thread, values)
+		if err != nil {
+			return nil, fmt.Errorf("policy: %w", err)
+		}
+		globals.Freeze()
+		place(set, src.Name, file)
 		for k, v := range globals {
 			if i == 0 {
 				known[k] = true
@@ -116,15 +121,11 @@
 }
 
 // place notes at which file and line a program assigns each of its names.
-func place(set map[string]string, src Program) {
-	file, err := syntax.Parse(src.Name, src.Text, 0)
-	if err != nil {
-		return // it ran, so it can be parsed
-	}
+func place(set map[string]string, name string, file *syntax.File) {
 	for _, stmt := range file.Stmts {
 		if a, ok := stmt.(*syntax.AssignStmt); ok {
 			if id, ok := a.LHS.(*syntax.Ident); ok {
-				set[id.Name] = fmt.Sprintf("%s:%d", src.Name, id.NamePos.Line)
+				set[id.Name] = fmt.Sprintf("%s:%d", name, id.NamePos.Line)
 			}
 		}
 	}
--- a/internal/sched/booking.go
+++ b/internal/sched/booking.go
@@ -71,8 +71,8 @@
 		j.rank = i
 	}
 	for _, j := range jobs {
-		if j.Booked {
-			j.Booked = false
+		if j.booked {
+			j.booked = false
 			p.book(j)
 		}
 	}
@@ -80,10 +80,10 @@
 
 // unbook takes a job's bookings back, for it to be placed.
 func (p *pass) unbook(j *Job) {
-	if !j.Booked {
+	if !j.booked {
 		return
 	}
-	j.Booked = false
+	j.booked = false
 	for _, i := range j.at {
 		if i >= len(p.keeps) {
 			break // of an earlier pass
@@ -98,7 +98,7 @@
 // book keeps room for all tasks of a gang or for none, and for the next few of an array. What
 // a job keeps already stands.
 func (p *pass) book(j *Job) {
-	if j.Booked || !p.books(j) {
+	if j.booked || !p.books(j) {
 		return
 	}
 	j.at = j.at[:0]
@@ -110,16 +110,17 @@
 	if j.Spec.OneZone {
 		zones = p.allZones()
 	}
-	need, best, done := j.Need(), []int(nil), clock.Forever
+	need, done := j.Need(), clock.Forever
+	var best []int
 	var bestAt []Micros
 	for _, zone := range zones {
-		if picks, at := p.bookings(j, need, zone); picks != nil && slices.Max(at) < done {
+		if picks, at := p.bookings(j, zone); picks != nil && slices.Max(at) < done {
 			best, bestAt, done = picks, at, slices.Max(at)
 		}
 	}
 	for k, i := range best {
 		p.keeps[i] = append(p.keeps[i], booking{j, need, bestAt[k]})
-		j.Booked, j.at = true, append(j.at, i)
+		j.booked, j.at = true, append(j.at, i)
 		p.booked++
 	}
 }
@@ -180,8 +181,8 @@
 }
 
 // bookings picks a machine for each task of j, and tells when it will have the room.
-func (p *pass) bookings(j *Job, need Need, zone string) (picks []int, at []Micros) {
-	list := p.candidatesFor(j, zone)
+func (p *pass) bookings(j *Job, zone string) (picks []int, at []Micros) {
+	need, list := j.Need(), p.candidatesFor(j, zone)
 	held, mine := j.Zones(nil), map[int]Need{}
 	var aside candidates
 	for len(picks) < j.toBook() && len(*list) > 0 {
@@ -227,12 +228,12 @@
 		if pl.Exited || pl.Job == nil || pl.Job.Service() && !pl.Stopping {
 			continue
 		}
-		end := p.Now + clock.FromSeconds(p.delayOf(pl)) + pl.Job.Estimate - pl.Job.Tasks[pl.Index].Progress
+		end := p.Now + clock.FromSeconds(p.delayOf(pl)) + pl.Left()
 		switch {
 		case pl.Stopping:
 			end = p.Now + clock.FromSeconds(pl.Grace)
 		case pl.Running > 0:
-			end = pl.Running + pl.Job.Estimate - pl.Job.Tasks[pl.Index].Progress
+			end = pl.Running + pl.Left()
 		}
 		list = append(list, ending{max(end, p.Now), pl.Need})
 	}
--- a/internal/sched/booking_test.go
+++ b/internal/sched/booking_test.go
@@ -111,8 +111,8 @@
 		}
 		in.Jobs = []*Job{large, late}
 		Plan(in)
-		if got := late.Placed == 1; got != c.placed || !large.Booked {
-			t.Errorf("%s: placed %v, booked %v", name, got, large.Booked)
+		if got := late.Placed == 1; got != c.placed || !large.booked {
+			t.Errorf("%s: placed %v, booked %v", name, got, large.booked)
 		}
 	}
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -70,7 +70,7 @@
 	boot  Micros  // what the quickest machine that it may use takes to come
 	large bool    // a task takes more than half of each machine
 
-	Booked bool  // machines keep room for it, see booking
+	booked bool  // machines keep room for it, see booking
 	at     []int // which
 	rank   int   // in the pass under way
 }
@@ -136,6 +136,9 @@
 	Grace     float64
 }
 
+// Left is how long a placed task is expected to run yet from when it began here.
+func (pl *Placement) Left() Micros { return pl.Job.Estimate - pl.Job.Tasks[pl.Index].Progress }
+
 // Machine is a rented machine.
 type Machine struct {
 	ID    string
--- a/internal/sched/size.go
+++ b/internal/sched/size.go
@@ -56,7 +56,7 @@
 }
 
 // Whole is what the whole job takes at once, in CPUs.
-func (j *Job) Whole() float64 { return j.Size() * float64(len(j.Tasks)) }
+func (j *Job) Whole() float64 { return j.Size() * float64(j.Spec.Tasks) }
 
 // Decay brings a team's use up to now: what it holds adds up, and the past
 // fades over the window.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -73,10 +73,13 @@
 // long as it stands. Found at 1.5 times a deployment of 1,800 machines and 2,500 sockets.
 const workerShare = 60
 
+// beyond reports whether more than a percentage of the sockets is in use.
+func (s *Server) beyond(percent int64) bool { return s.open.Load() > s.limit*percent/100 }
+
 // ServeHTTP routes by hand: the paths are few, and job ids need no decoding.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.Path
-	if s.open.Load() > s.limit*userShare/100 && strings.HasPrefix(path, jobs) {
+	if s.beyond(userShare) && strings.HasPrefix(path, jobs) {
 		// Sockets run short: users are shed first, workers last.
 		w.Header().Set("Connection", "close")
 		answer(w, controller.Answer{}, false)
@@ -229,7 +232,7 @@
 }
 
 func (s *Server) report(w http.ResponseWriter, r *http.Request) {
-	if s.open.Load() > s.limit*workerShare/100 {
+	if s.beyond(workerShare) {
 		w.Header().Set("Connection", "close")
 	}
 	body, ok := read(w, r)
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -106,9 +106,7 @@
 		if r.URL.Path == "/orders" && !decode(w, r, &o) {
 			return
 		}
-		deaf := false
-		l.Do(func(w *World) { deaf = w.deaf[x.id] })
-		if deaf { // nothing of it arrives
+		if l.deaf(x.id) { // nothing of it arrives
 			time.Sleep(4 * time.Second)
 			return
 		}
@@ -147,9 +145,7 @@
 		if err == nil && status == http.StatusMisdirectedRequest && wire.Decode(raw, &to) == nil {
 			a.Leader = to.ReportTo
 		}
-		deaf := false
-		l.Do(func(w *World) { deaf = w.deaf[rep.Machine] })
-		if deaf { // the worker waits for an answer in vain
+		if l.deaf(rep.Machine) { // the worker waits for an answer in vain
 			time.Sleep(4 * time.Second)
 			a = controller.ReportAnswer{}
 		}
@@ -157,18 +153,21 @@
 	}()
 }
 
+// deaf reports whether nothing reaches a machine.
+func (l *Live) deaf(machine string) (deaf bool) {
+	l.Do(func(w *World) { deaf = w.deaf[machine] })
+	return deaf
+}
+
 // copyLater posts a late copy of a report to some controller, if copies are on.
 func (l *Live) copyLater(rep *wire.Report) {
-	var node string
-	var after time.Duration
-	l.Do(func(w *World) {
-		if c := w.copies; c != nil && c.rng.Float64() < c.share {
-			node = w.Nodes[c.rng.IntN(len(w.Nodes))].name
-			after = time.Duration(c.by/10+Micros(c.rng.Int64N(int64(c.by)))) * time.Microsecond
-		}
-	})
-	if node != "" {
-		time.AfterFunc(after, func() { l.nodes[node].Call(http.MethodPost, "/checkin", rep, nil, 4*time.Second) })
+	var n *Node
+	var after Micros
+	l.Do(func(w *World) { n, after = w.drawCopy() })
+	if n != nil {
+		time.AfterFunc(time.Duration(after)*time.Microsecond, func() {
+			l.nodes[n.name].Call(http.MethodPost, "/checkin", rep, nil, 4*time.Second)
+		})
 	}
 }
 
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -159,7 +159,6 @@
 		next(sec)
 	}
 	rep := x.snapshot()
-	w.copyLater(rep)
 	slow := w.SlowReports
 	answered := func(a controller.ReportAnswer) {
 		x.do(func() {
@@ -193,6 +192,7 @@
 		w.live.report(n.name, rep, answered)
 		return
 	}
+	w.copyLater(rep)
 	w.call(x.id, n.name, 4*sec, func(respond func(func())) {
 		w.After(slow, func() {
 			if !n.Up() {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -157,15 +157,23 @@
 	rng   *rand.Rand
 }
 
-// copyLater delivers a late copy of a report. Nobody waits for the answer.
-func (w *World) copyLater(rep *wire.Report) {
+// drawCopy says at which node, if any, a copy of a report arrives, and how much later.
+func (w *World) drawCopy() (*Node, Micros) {
 	c := w.copies
 	if c == nil || c.rng.Float64() >= c.share {
+		return nil, 0
+	}
+	return w.Nodes[c.rng.IntN(len(w.Nodes))], c.by/10 + Micros(c.rng.Int64N(int64(c.by)))
+}
+
+// copyLater delivers a late copy of a report. Nobody waits for the answer.
+func (w *World) copyLater(rep *wire.Report) {
+	n, after := w.drawCopy()
+	if n == nil {
 		return
 	}
 	body := wire.Encode(rep)
-	n := w.Nodes[c.rng.IntN(len(w.Nodes))]
-	w.After(c.by/10+Micros(c.rng.Int64N(int64(c.by))), func() {
+	w.After(after, func() {
 		if n.Up() {
 			got, err := wire.DecodeReport(body)
 			if err != nil {
