--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -86,6 +86,7 @@
 	stateSeen Micros // last answer of the state service
 	peers     map[string]*peerInfo
 	strays    map[string]*stray // workers that reported while not leading
+	early     []func()          // reports that came before the records were read
 	isReady   bool
 	catalog   []wire.MachineType
 	intake    intake
@@ -217,18 +218,14 @@
 // tasks.
 func (c *Core) Serving() bool { return c.loaded && c.lead.Authority() }
 
-// fadeFor is how long a leader that lost touch with the state service may go
-// on renewing worker leases: a successor's cancellations must still hold.
-func (c *Core) fadeFor() Micros {
-	return clock.FromSeconds(c.cfg.Params.Workers.Cancel) - c.cfg.WorkerLease() - 4*c.margin()
-}
-
 // margin covers drift of the clocks over a worker's lease, and processing.
 func (c *Core) margin() Micros { return c.pol.Margin + c.cfg.WorkerLease()/500 }
 
 // keeping reports whether this node may renew worker leases.
 func (c *Core) keeping() bool {
-	return c.lead.Leading() && c.env.Now() < c.lead.Deadline()+max(c.fadeFor(), 0)
+	w := c.cfg.Params.Workers
+	r := lead.Renewal{Lease: clock.FromSeconds(w.Lease), Cancel: clock.FromSeconds(w.Cancel), Margin: c.margin()}
+	return c.lead.Leading() && r.Allowed(c.env.Now(), c.lead.Deadline(), c.loaded)
 }
 
 // Ready tells the load balancer whether this node can take requests. When all
@@ -409,6 +406,7 @@
 
 func (c *Core) lost() {
 	c.loaded = false
+	c.takeEarly()
 	c.commit.abandon()
 	c.jobs, c.machines, c.order, c.finals = nil, nil, nil, nil
 	c.giver, c.dues = nil, nil
@@ -455,7 +453,11 @@
 		return
 	}
 	now := c.env.Now()
-	if c.isolated(now) {
+	if !c.lead.Authority() {
+		// Giving up a lead that is over helps nobody, and one cut off has sent its workers
+		// away itself: they come back to be kept where they find no successor.
+		c.lastReport = now
+	} else if c.isolated(now) {
 		c.lead.Resign("no worker reaches this node", 15*clock.Second)
 		return
 	}
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -298,6 +298,7 @@
 		c.watchJobs(term, since)
 		c.list(term, "", nil, 0)
 		c.saveLearnt(term)
+		c.takeEarly()
 		c.wake()
 	}
 	read := func(prefix string, then func([]wire.Item, uint64)) { c.listAll(still, prefix, then) }
--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -40,6 +40,10 @@
 
 // TakeReport handles a worker's report at whichever node it comes to.
 func (c *Core) TakeReport(r *wire.Report, reply func(ReportAnswer)) {
+	if c.lead.Leading() && !c.loaded {
+		c.awaitLoad(r, reply)
+		return
+	}
 	leader := c.lead.Leader()
 	if c.lead.Leading() || leader == "" || !c.relays(r, leader) {
 		a := c.OnReport(r)
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -16,6 +16,34 @@
 // commands in it are not executed any more.
 const responseLife = 4 * clock.Second
 
+// earlyFor is how long a report that comes before the records are read waits for that: the
+// worker drops answers later than responseLife.
+const earlyFor = responseLife / 2
+
+// awaitLoad keeps a report until the records are read. Nothing may be renewed before: a
+// leader that knows of no cancellation would keep alive what an earlier one has told a user
+// is cancelled (scenario meet_successor_not_loaded).
+func (c *Core) awaitLoad(r *wire.Report, reply func(ReportAnswer)) {
+	waits := true
+	take := func() {
+		if waits {
+			waits = false
+			reply(c.OnReport(r))
+		}
+	}
+	c.early = append(c.early, take)
+	c.env.After(earlyFor, take)
+}
+
+// takeEarly answers the reports that were kept: the records are read, or the lead is lost.
+func (c *Core) takeEarly() {
+	early := c.early
+	c.early = nil
+	for _, take := range early {
+		take()
+	}
+}
+
 // OnReport handles a worker's report. Reports are ordered by session and seq:
 // a late one changes nothing.
 func (c *Core) OnReport(r *wire.Report) ReportAnswer {
@@ -35,10 +63,6 @@
 		return ReportAnswer{Code: 503}
 	}
 	renew := ReportAnswer{Code: 200, Body: wire.ReportAnswer{Token: c.term, Commands: []wire.Command{}}}
-	if !c.loaded {
-		c.lastReport = now
-		return renew // keeps the worker's tasks alive while the records are read
-	}
 	if c.released[r.Machine] {
 		return ReportAnswer{Code: 503}
 	}
@@ -58,9 +82,11 @@
 		c.older(m, r, now)
 		return ReportAnswer{Code: 503}
 	}
-	if c.cutOff(now) && now-m.Away > c.cfg.WorkerLease()/2 {
+	if c.cutOff(now) && now-m.Away > c.cfg.WorkerLease()/2 && m.Answered > m.Away {
 		// While it is answered here the worker stays, and its successor can't use it. It
-		// looks for one; if there is none, it is back within seconds and kept.
+		// looks for one; if there is none, it is back and kept. Whoever was not kept since
+		// is not sent away again: where the others can't be reached either, the search
+		// takes seconds for each of them, and the lease would end over it.
 		m.Away = now
 		return ReportAnswer{Code: 503}
 	}
@@ -70,6 +96,7 @@
 		// Written before the worker executed an order whose answer is known: what
 		// it lacks may have started since. It only shows that the worker lives.
 		m.Seq, m.Heard, m.Answered = r.Seq, now, now
+		renew.Body.Commands = c.cancelledOn(m, r)
 		return renew
 	}
 	if !m.Up {
@@ -117,7 +144,7 @@
 			c.sign(m, hearing.TokenLost, now)
 		}
 		m.Greeted = true
-		renew.Body.Commands = c.cancelledIn(r)
+		renew.Body.Commands = c.cancelledOn(m, r)
 	}
 	m.Answered = now
 	return renew
@@ -129,19 +156,32 @@
 	return wire.Command{Op: wire.OpStop, Task: task, Attempt: attempt, Grace: &grace}
 }
 
-// cancelledIn lists the stops that answer a report under an older token. Such a
-// report proves nothing, but what is cancelled for good must go: a chain of leaders,
-// each of which ended before the worker had acknowledged it, renewed a lease beyond
+// cancelledOn lists the stops that every answer carries which renews a lease and decides
+// nothing else: to a report under an older token, which proves nothing, or of a fading leader,
+// which starts and forgets nothing. What is cancelled must go all the same: a chain of
+// leaders, each of which ended before the worker had acknowledged it, renewed a lease beyond
 // cancel_s and never stopped the task, found at four seconds between reports.
-func (c *Core) cancelledIn(r *wire.Report) []wire.Command {
+//
+// A cancellation counts from the user's wish on, committed or not: where the answer of the
+// commit is lost, another node may read the final state and tell the user of it, which this
+// leader never learns (scenario meet_cancelled_not_shown). What is reported stands for what
+// it holds no place of any more; a job that is not in memory is over, and what was sent and
+// is not reported may be on its way.
+func (c *Core) cancelledOn(m *sched.Machine, r *wire.Report) []wire.Command {
 	stop := []wire.Command{}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, _, _ := wire.SplitTask(t.Task)
-		if j := c.jobs[id]; j != nil && j.Shown == wire.PhaseCancelled && t.State != wire.TaskExited {
+		if j := c.jobs[id]; t.State != wire.TaskExited && (j == nil || j.Cancelled) {
 			stop = append(stop, stopNow(t.Task, t.Attempt))
 		}
 	}
+	for _, p := range places(m) {
+		reported := func(t wire.TaskReport) bool { return t.Task == p.Task && t.Attempt == p.Attempt }
+		if p.Job != nil && p.Job.Cancelled && p.Sent && !p.Exited && !slices.ContainsFunc(r.Tasks, reported) {
+			stop = append(stop, stopNow(p.Task, p.Attempt))
+		}
+	}
 	return stop
 }
 
@@ -199,25 +239,12 @@
 		}
 	}
 	if !c.Serving() {
-		return cancelledOn(m, held)
+		return c.cancelledOn(m, r)
 	}
 	stop, start := c.commands(m, held, now, false)
 	return append(append(stop, forget...), start...)
 }
 
-// cancelledOn lists the stops that a fading leader gives. It starts and forgets
-// nothing, and stops only what is cancelled for good: one fading leader after the
-// other could otherwise keep that alive beyond the time it has.
-func cancelledOn(m *sched.Machine, held []*sched.Placement) []wire.Command {
-	stop := []wire.Command{}
-	for _, p := range held {
-		if m.Places[p.Task] == p && p.Sent && !p.Exited && p.Job != nil && p.Job.Shown == wire.PhaseCancelled {
-			stop = append(stop, stopNow(p.Task, p.Attempt))
-		}
-	}
-	return stop
-}
-
 // commands lists what a machine is to stop and to start, in an answer to its
 // report or in a direct order. An order starts only what was never sent; what
 // an unanswered order may yet start is not sent again, lest it start a second
