--- /dev/null
+++ b/internal/lead/renewal.go
@@ -0,0 +1,24 @@
+package lead
+
+import "lilacthread/internal/clock"
+
+// Renewal bounds how long a leader may renew the leases of workers. What it must never do
+// is keep a task alive beyond cancel_s after any user heard that the task's job is
+// cancelled. It stops what it knows to be cancelled; what it can't know of, a successor
+// committed, and no user heard of it before that. No successor exists before this leader's
+// own deadline, so a renewal is safe while the lease that it begins, at the longest, ends
+// within cancel_s of the deadline. That argument needs a leader that knows all that was
+// committed before its term: one that has not read the records yet renews nothing.
+type Renewal struct {
+	Lease, Cancel clock.Micros // of the workers' settings
+	Margin        clock.Micros // drift of the clocks over a lease, and processing
+}
+
+// Fade is how long past its deadline a leader may renew.
+func (r Renewal) Fade() clock.Micros { return max(r.Cancel-r.Lease-4*r.Margin, 0) }
+
+// Allowed reports whether a leader may renew now; informed: it has read what was committed
+// before its term.
+func (r Renewal) Allowed(now, deadline clock.Micros, informed bool) bool {
+	return informed && now < deadline+r.Fade()
+}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -176,7 +176,7 @@
 
 // ToldCancelled notes the answer and when every task must be gone.
 func (c *Checker) ToldCancelled(id string, goneBy Micros) {
-	if j := c.jobs[id]; !j.told {
+	if j := c.jobs[id]; j != nil && !j.told {
 		j.told, j.toldAt, j.goneBy = true, c.Now(), goneBy
 	}
 }
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -174,10 +174,12 @@
 		return []string{word}
 	case "workers":
 		return sortedKeys(s.w.Cloud.Machines)
-	case "peers":
+	case "peers", "followers":
 		var names []string
 		for _, n := range s.w.Nodes {
-			names = append(names, n.name)
+			if word == "peers" || n != s.w.Leader() {
+				names = append(names, n.name)
+			}
 		}
 		return names
 	}
@@ -186,7 +188,7 @@
 
 // troubles are the verbs that make something go wrong, for a while or at once.
 var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true, "apart": true,
-	"refuse": true, "outage": true, "late-txn": true, "lost-answer": true, "late-order": true, "slow-reports": true,
+	"refuse": true, "outage": true, "late-txn": true, "late-writes": true, "lost-answer": true, "late-order": true, "slow-reports": true,
 	"late-rent": true, "no-boot": true, "hang": true, "deaf": true, "dead": true, "copies": true, "reborn": true, "sick": true,
 	"notice": true, "take": true, "wave": true, "upgrade": true}
 
@@ -369,17 +371,18 @@
 			if a.has("hold") {
 				mode = Hold
 			}
-			from := s.hosts(a.word(0))[0]
 			var to []string
 			for _, word := range a.words[1:] {
 				if word != "hold" && word != "drop" {
 					to = append(to, s.hosts(word)...)
 				}
 			}
-			for _, t := range to {
-				if t != from {
-					w.SetCut(from, t, mode)
-					w.After(span("for", 20), func() { w.SetCut(from, t, None) })
+			for _, from := range s.hosts(a.word(0)) {
+				for _, t := range to {
+					if t != from {
+						w.SetCut(from, t, mode)
+						w.After(span("for", 20), func() { w.SetCut(from, t, None) })
+					}
 				}
 			}
 		}
@@ -426,6 +429,11 @@
 			w.State.Late[s.node(a.word(0)).name] = span("by", 10)
 			w.State.LateKeys = a.pairs["keys"]
 		}
+	case "late-writes": // of any node; see lateWrites
+		return func() {
+			w.State.LateOnes = &lateWrites{a.num("share", 0.3), rand.New(rand.NewPCG(uint64(w.now), 5))}
+			w.After(span("for", 20), func() { w.State.LateOnes = nil })
+		}
 	case "lost-answer":
 		return func() { w.State.Lost[s.node(a.word(0)).name] = true }
 	case "late-order":
@@ -733,6 +741,16 @@
 				return fmt.Errorf("t=%v: %d requests in a second", w.now.Seconds(), w.State.Busiest)
 			}
 			return nil
+		case "term":
+			if n := w.State.term(); n < int(a.num("min", 0)) || n > int(a.num("max", 1e9)) {
+				return fmt.Errorf("t=%v: term %d", w.now.Seconds(), n)
+			}
+			return nil
+		case "late-txns": // that were carried out late, with no answer
+			if w.State.Delayed < int(a.num("min", 1)) {
+				return fmt.Errorf("t=%v: %d late transactions", w.now.Seconds(), w.State.Delayed)
+			}
+			return nil
 		case "refused-txns":
 			if w.State.Refused > int(a.num("max", 0)) || w.State.Refused < int(a.num("min", 0)) {
 				return fmt.Errorf("t=%v: %d transactions refused", w.now.Seconds(), w.State.Refused)
@@ -745,8 +763,8 @@
 					n += len(on)
 				}
 			}
-			if n != int(a.num("tasks", 0)) {
-				return fmt.Errorf("t=%v: %s has %d tasks on machines, not %v", w.now.Seconds(), a.word(1), n, a.num("tasks", 0))
+			if least := int(a.num("min", 0)); n < least || least == 0 && n != int(a.num("tasks", 0)) {
+				return fmt.Errorf("t=%v: %s has %d tasks on machines, not %v", w.now.Seconds(), a.word(1), n, max(a.num("tasks", 0), float64(least)))
 			}
 			return nil
 		}
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strings"
@@ -28,6 +29,8 @@
 	Late     map[string]Micros // nodes whose next transaction is applied this much later, with no answer
 	LateKeys string            // of those, only transactions that write a key with this prefix
 	Lost     map[string]bool   // nodes whose next transaction is applied, with no answer
+	LateOnes *lateWrites       // a share of all nodes' transactions is applied late, with no answer
+	Delayed  int               // transactions that were so far
 
 	Rate    float64 // changes a second in place of the settings'; 0: those
 	tokens  float64 // changes that may be made now
@@ -111,6 +114,32 @@
 	return ""
 }
 
+// term is that of the latest election.
+func (s *State) term() int {
+	var rec struct {
+		Term int `msgpack:"term"`
+	}
+	if it := s.items[lead.TermKey]; it != nil && msgpack.Unmarshal(it.Value, &rec) != nil {
+		panic("the term cannot be read")
+	}
+	return rec.Term
+}
+
+// lateWrites is the users' trouble of that name: of a share of the transactions, whoever
+// sends them, there is no answer, and they are applied 2 to 12 s later, after newer ones.
+type lateWrites struct {
+	share float64
+	rng   *rand.Rand
+}
+
+// drawLate says how much later a transaction is applied; 0: at once, with an answer.
+func (s *State) drawLate() Micros {
+	if l := s.LateOnes; l != nil && l.rng.Float64() < l.share {
+		return 2*sec + Micros(l.rng.Int64N(int64(10*sec)))
+	}
+	return 0
+}
+
 func (s *State) apply(changes []wire.Change) {
 	s.revision++
 	for _, c := range changes {
@@ -354,8 +383,14 @@
 func (c *stateClient) Txn(t *wire.Txn, done func(store.Outcome, *wire.TxnAnswer)) {
 	s, name := c.state(), c.e.n.name
 	hit := slices.ContainsFunc(t.Then, func(ch wire.Change) bool { return strings.HasPrefix(ch.Put+ch.Delete, s.LateKeys) })
-	if d, ok := s.Late[name]; ok && hit {
+	d, late := s.Late[name]
+	if late = late && hit; late {
 		delete(s.Late, name)
+	} else if d = s.drawLate(); d > 0 && !s.Outage && !s.Refuse[name] {
+		late = true
+	}
+	if late {
+		s.Delayed++
 		c.e.n.w.After(d, func() { s.txn(t) })
 		c.e.After(1500*ms, func() { done(store.Unknown, &wire.TxnAnswer{}) })
 		return
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -404,6 +404,7 @@
 			case 200, 201:
 				u.accepted = true
 				u.Last = a.Status.Phase
+				u.told(a.Status.Phase)
 				u.w.After(5*sec, u.poll)
 			case 400, 422:
 			default:
@@ -436,6 +437,7 @@
 			u.w.Rules.Polled(u.job.ID, f, a)
 			if a.Code == 200 {
 				u.Last = a.Status.Phase
+				u.told(a.Status.Phase)
 			}
 			if then != nil {
 				then()
@@ -465,11 +467,19 @@
 						u.w.Rules.broke("half_cancelled", "%s is told of before %s", u.job.ID, id)
 					}
 				}
-				u.w.Rules.ToldCancelled(u.job.ID, u.w.now+Micros(u.w.Config.Params.Workers.Cancel*1e6))
+				u.told(a.Status.Phase)
 			}
 		})
 }
 
+// told has the checker count from when the user heard, by whatever answer, that the job
+// is cancelled.
+func (u *User) told(phase string) {
+	if phase == wire.PhaseCancelled {
+		u.w.Rules.ToldCancelled(u.job.ID, u.w.now+Micros(u.w.Config.Params.Workers.Cancel*1e6))
+	}
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
