--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -87,6 +87,7 @@
 	peers     map[string]*peerInfo
 	strays    map[string]*stray // workers that reported while not leading
 	early     []func()          // reports that came before the records were read
+	fading    int               // leases renewed past this leader's deadline
 	isReady   bool
 	catalog   []wire.MachineType
 	intake    intake
@@ -228,6 +229,14 @@
 	return c.lead.Leading() && r.Allowed(c.env.Now(), c.lead.Deadline(), c.loaded)
 }
 
+// tellFading logs, once it is over, how many leases this leader renewed past its deadline.
+func (c *Core) tellFading() {
+	if c.fading > 0 {
+		slog.Info("leases renewed past the leader's deadline", "renewals", c.fading, "term", c.term)
+		c.fading = 0
+	}
+}
+
 // Ready tells the load balancer whether this node can take requests. When all
 // nodes have lost the state service, leaving the rotation helps nobody.
 func (c *Core) Ready() bool {
@@ -406,6 +415,7 @@
 
 func (c *Core) lost() {
 	c.loaded = false
+	c.tellFading()
 	c.takeEarly()
 	c.commit.abandon()
 	c.jobs, c.machines, c.order, c.finals = nil, nil, nil, nil
@@ -453,6 +463,9 @@
 		return
 	}
 	now := c.env.Now()
+	if !c.keeping() || c.lead.Authority() {
+		c.tellFading()
+	}
 	if !c.lead.Authority() {
 		// Giving up a lead that is over helps nobody, and one cut off has sent its workers
 		// away itself: they come back to be kept where they find no successor.
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -90,6 +90,9 @@
 		m.Away = now
 		return ReportAnswer{Code: 503}
 	}
+	if !c.lead.Authority() {
+		c.fading++
+	}
 	// Only what is new shows that workers reach this node; late copies don't.
 	c.lastReport, m.Mute = now, 0
 	if r.Session == m.Session && r.Seq < m.OrderSeq {
