--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -526,7 +526,7 @@
 				j.Shown = wire.PhaseCancelled
 			}
 			j.Over = c.overAt(j.Over)
-			slog.Debug("job over", "job", j.ID, "team", j.Spec.Team, "class", j.Spec.Class, "kind", j.Spec.Kind, "phase", j.Shown, "tasks", len(j.Tasks), "cpus", j.Spec.CPUs,
+			slog.Debug("job over", "job", j.ID, "team", j.Spec.Team, "class", j.Spec.Class, "kind", j.Spec.Kind, "phase", j.Shown, "tasks", len(j.Tasks), "placed", j.Placed, "cpus", j.Spec.CPUs,
 				"submitted", j.Submitted.Seconds(), "ready", j.Ready.Seconds(), "began", j.Began.Seconds(), "over", j.Over.Seconds(),
 				"estimate", j.Estimate.Seconds(), "stated", j.Spec.Estimate, "deadline", (j.Deadline - j.Submitted).Seconds(), "again", j.Again)
 		}
