Names: one-way partitions, their detector and probes, forwarding

The field's terms for what had names of ours: hearing and ears are package oneway with its Detector, controller/detect.go with probes; relay is forward.go. Admission's purse and passing, which this change does not touch, keep theirs.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -307,7 +307,7 @@
 	now := c.env.Now()
 	reports := uint32(0)
 	for id, s := range c.strays {
-		if now-s.at < 3*clock.Second && s.relayed == 0 {
+		if now-s.at < 3*clock.Second && s.forwarded == 0 {
 			reports++ // those that are handed on, the leader hears
 		}
 		if now-s.at > 2*c.cfg.WorkerLease() {
@@ -367,7 +367,7 @@
 	case fb.KindCancel:
 		c.cancelHere(m.Job, answer)
 	case fb.KindReport:
-		c.onRelayed(m, reply)
+		c.onForwarded(m, reply)
 	case fb.KindSubmit:
 		job, err := wire.DecodeJob(m.Body)
 		if err != nil || !c.stateOK() {
@@ -484,8 +484,8 @@
 	c.tendLevel(now)
 	if c.Serving() {
 		c.tendMachines(now)
-		c.tendEars(now)
-		c.seekSilent(now)
+		c.probePartitions(now)
+		c.probeSilent(now)
 		c.sendOrders()
 		c.wake()
 	}
--- a/internal/controller/ears.go
+++ b/internal/controller/detect.go
@@ -4,15 +4,15 @@
 	"log/slog"
 
 	"lilacthread/internal/clock"
-	"lilacthread/internal/hearing"
+	"lilacthread/internal/oneway"
 	"lilacthread/internal/sched"
 	"lilacthread/internal/store"
 	"lilacthread/wire"
 )
 
-// sign notes that a machine showed something that contradicts what it was told.
-func (c *Core) sign(m *sched.Machine, s hearing.Sign, now Micros) {
-	if !m.Ear.See(s, now, c.cfg.ReportEvery()/2) {
+// suspect notes that a machine showed something that contradicts what it was told.
+func (c *Core) suspect(m *sched.Machine, s oneway.Sign, now Micros) {
+	if !m.Downlink.See(s, now, c.cfg.ReportEvery()/2) {
 		return
 	}
 	slog.Info("machine does not hear", "machine", m.ID, "tasks", len(m.Places))
@@ -36,11 +36,11 @@
 	return m.Acked && now-m.Answered < c.cfg.WorkerLease()-lateRenewal-c.margin()
 }
 
-// tendEars asks machines for a proof that they hear.
-func (c *Core) tendEars(now Micros) {
+// probePartitions asks machines for a proof that they hear.
+func (c *Core) probePartitions(now Micros) {
 	for _, m := range c.order {
-		if c.mayOrder(m) && m.Ear.Ask(now) {
-			c.question(m, func(ok bool, _ *wire.Report) { m.Ear.Answered(ok) })
+		if c.mayOrder(m) && m.Downlink.Ask(now) {
+			c.probe(m, func(ok bool, _ *wire.Report) { m.Downlink.Answered(ok) })
 		}
 	}
 }
@@ -65,10 +65,10 @@
 // quiet is how long a machine may be silent before it is returned, asked or not.
 func (c *Core) quiet() Micros { return Micros(c.pol.SilentReports * float64(c.cfg.ReportEvery())) }
 
-// seekSilent asks machines whose report is overdue. Where reports come seldom, waiting for
+// probeSilent asks machines whose report is overdue. Where reports come seldom, waiting for
 // several of them would leave the replicas of a dead machine away for half a minute; one
 // that only its reports don't come from answers.
-func (c *Core) seekSilent(now Micros) {
+func (c *Core) probeSilent(now Micros) {
 	late := c.overdue()
 	if late+foundBy >= c.quiet() {
 		return // reports come so often that several missed ones tell sooner
@@ -81,7 +81,7 @@
 			continue
 		}
 		m.Asked = now
-		c.question(m, func(ok bool, _ *wire.Report) {
+		c.probe(m, func(ok bool, _ *wire.Report) {
 			if m.Mute++; ok || m.Heard > now {
 				m.Mute = 0
 			}
@@ -89,8 +89,8 @@
 	}
 }
 
-// question sends an order without commands: whoever answers hears.
-func (c *Core) question(m *sched.Machine, done func(ok bool, r *wire.Report)) {
+// probe sends an order without commands: whoever answers hears.
+func (c *Core) probe(m *sched.Machine, done func(ok bool, r *wire.Report)) {
 	c.sendTo(m, []wire.Command{}, func(o store.Outcome, r *wire.Report) {
 		done((o == store.OK || o == store.Failed) && r != nil && r.Machine == m.ID, r)
 	})
@@ -107,7 +107,7 @@
 	m.Doubted = now
 	// What was known when it was asked: a report that it wrote after its answer may come before.
 	session, seq := m.Session, m.Seq
-	c.question(m, func(ok bool, a *wire.Report) {
+	c.probe(m, func(ok bool, a *wire.Report) {
 		if ok && a.Token <= c.term && (a.Session < session || a.Session == session && a.Seq < seq) {
 			c.startedAnew(m, a)
 		}
--- a/internal/controller/relay.go
+++ b/internal/controller/forward.go
@@ -15,17 +15,17 @@
 
 // stray is a worker that reported here while this node did not lead.
 type stray struct {
-	at      Micros // last
-	sent    Micros // when it was last sent to the leader; 0: never
-	leader  string // which
-	relayed Micros // since when its reports are handed on; 0: they are not
+	at        Micros // last
+	sent      Micros // when it was last sent to the leader; 0: never
+	leader    string // which
+	forwarded Micros // since when its reports are handed on; 0: they are not
 }
 
 const (
-	// relayTime is how long the leader's answer to a report that was handed on is awaited.
-	relayTime = 2 * clock.Second
-	// relayFor is how long reports are handed on before the worker tries the leader again.
-	relayFor = 30 * clock.Second
+	// forwardTime is how long the leader's answer to a report that was handed on is awaited.
+	forwardTime = 2 * clock.Second
+	// forwardFor is how long reports are handed on before the worker tries the leader again.
+	forwardFor = 30 * clock.Second
 )
 
 // strayOf is what is known of a worker that reports here while this node does not lead.
@@ -45,10 +45,10 @@
 		return
 	}
 	leader := c.lead.Leader()
-	if c.lead.Leading() || leader == "" || !c.relays(r, leader) {
+	if c.lead.Leading() || leader == "" || !c.forwards(r, leader) {
 		a := c.OnReport(r)
 		if s := c.strays[r.Machine]; s != nil && a.Code == 421 {
-			s.sent, s.leader, s.relayed = c.env.Now(), a.Leader, 0
+			s.sent, s.leader, s.forwarded = c.env.Now(), a.Leader, 0
 		}
 		reply(a)
 		return
@@ -56,39 +56,39 @@
 	c.strays[r.Machine].at = c.env.Now()
 	m := c.self(fb.KindReport)
 	m.Body = wire.Encode(r)
-	c.env.Ask(leader, m, relayTime, func(a *peer.Msg) {
+	c.env.Ask(leader, m, forwardTime, func(a *peer.Msg) {
 		answer := ReportAnswer{Code: 503}
 		if a != nil && a.Code == 200 && wire.Decode(a.Body, &answer.Body) == nil {
 			answer.Code = 200
 		}
 		if s := c.strays[r.Machine]; s != nil && answer.Code != 200 {
-			s.relayed = 0
+			s.forwarded = 0
 		}
 		reply(answer)
 	})
 }
 
-// relays reports whether a worker's report should be handed on to the leader, which this
+// forwards reports whether a worker's report should be handed on to the leader, which this
 // node does reach: the worker has spoken to it in this term, or was sent to it less than a
 // lease ago, and is here all the same.
-func (c *Core) relays(r *wire.Report, leader string) bool {
+func (c *Core) forwards(r *wire.Report, leader string) bool {
 	now, p := c.env.Now(), c.peers[leader]
 	if p == nil || !p.heard(now) || c.up.peers[leader] < LevelGroups {
 		return false
 	}
 	s := c.strayOf(r.Machine)
 	switch {
-	case s.relayed > 0:
-	case p.term > 0 && r.Token == p.term && (s.sent == 0 || now-s.sent > relayFor), s.leader == leader && s.sent > 0 && now-s.sent < c.cfg.WorkerLease():
-		s.relayed = now
+	case s.forwarded > 0:
+	case p.term > 0 && r.Token == p.term && (s.sent == 0 || now-s.sent > forwardFor), s.leader == leader && s.sent > 0 && now-s.sent < c.cfg.WorkerLease():
+		s.forwarded = now
 	default:
 		return false
 	}
-	return now-s.relayed < relayFor
+	return now-s.forwarded < forwardFor
 }
 
-// onRelayed answers a report that a peer hands on.
-func (c *Core) onRelayed(m *peer.Msg, reply func(*peer.Msg)) {
+// onForwarded answers a report that a peer hands on.
+func (c *Core) onForwarded(m *peer.Msg, reply func(*peer.Msg)) {
 	a := ReportAnswer{Code: 400}
 	if r, err := wire.DecodeReport(m.Body); err == nil {
 		a = ReportAnswer{Code: 503}
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -180,7 +180,7 @@
 			if c.silent(m, now) {
 				silent++
 			}
-			if m.Ear.Deaf {
+			if m.Downlink.Partitioned {
 				deaf++
 			}
 		}
@@ -215,7 +215,7 @@
 			why = "silent"
 		case m.Up && now-m.Heard > c.cfg.WorkerLease()+c.margin() && settled && !m.Busy():
 			why = "silent and empty"
-		case m.Ear.Hopeless(now, c.cfg.WorkerLease()) && (deaf*4 <= up || deaf == 1):
+		case m.Downlink.Hopeless(now, c.cfg.WorkerLease()) && (deaf*4 <= up || deaf == 1):
 			// As with silent ones: many at once are more likely a fault of ours.
 			why = "deaf"
 		case !m.Acked && m.Busy() && settled:
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -54,7 +54,7 @@
 
 func (c *Core) sendOrder(m *sched.Machine) {
 	now := c.env.Now()
-	if !c.mayOrder(m) || !m.Acked || m.Ear.Deaf || now-m.Heard > c.fresh() {
+	if !c.mayOrder(m) || !m.Acked || m.Downlink.Partitioned || now-m.Heard > c.fresh() {
 		return
 	}
 	stop, start := c.commands(m, places(m), now, true)
@@ -75,7 +75,7 @@
 			return
 		}
 		if o != store.Refused {
-			m.Ear.Proof()
+			m.Downlink.Proof()
 		}
 		for _, cmd := range start {
 			if p := m.Places[cmd.Task]; p != nil && p.Attempt == cmd.Attempt && p.Direct {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"lilacthread/internal/clock"
-	"lilacthread/internal/hearing"
+	"lilacthread/internal/oneway"
 	"lilacthread/internal/sched"
 	"lilacthread/wire"
 )
@@ -114,7 +114,7 @@
 				"heard", (now - heard).Seconds(), "answered", (now - m.Answered).Seconds())
 		}
 		if c.renewedInVain(m, now) {
-			c.sign(m, hearing.SessionLost, now)
+			c.suspect(m, oneway.SessionLost, now)
 		}
 		m.OrderSeq = 0
 		for _, p := range places(m) {
@@ -133,18 +133,18 @@
 	}
 	if m.LostOrder {
 		m.LostOrder = false
-		c.sign(m, hearing.OrderLost, now)
+		c.suspect(m, oneway.OrderLost, now)
 	}
 	if r.Token == c.term {
 		if !m.Acked {
 			m.Acked = true
-			m.Ear.Proof()
+			m.Downlink.Proof()
 			c.wake()
 		}
 		renew.Body.Commands = c.digest(m, r, now)
 	} else {
 		if m.Greeted {
-			c.sign(m, hearing.TokenLost, now)
+			c.suspect(m, oneway.TokenLost, now)
 		}
 		m.Greeted = true
 		renew.Body.Commands = c.cancelledOn(m, r)
@@ -222,15 +222,15 @@
 	for _, p := range held {
 		if t := reported[p.Task]; t != nil {
 			if !p.Seen && !p.Inherited {
-				m.Ear.Proof()
+				m.Downlink.Proof()
 			}
 			c.observe(m, p, t, now)
 			continue
 		}
 		if p.Sent && !p.Direct && !p.Seen && !p.Inherited {
 			// It rode on the answer to an earlier report, which was taken or dropped by now.
-			c.sign(m, hearing.LaunchLost, now)
-			if m.Ear.Deaf {
+			c.suspect(m, oneway.LaunchLost, now)
+			if m.Downlink.Partitioned {
 				c.leave(p)
 				continue
 			}
@@ -274,7 +274,7 @@
 				continue
 			}
 			stop = append(stop, wire.Command{Op: wire.OpStop, Task: p.Task, Attempt: p.Attempt, Grace: &grace})
-		case m.Ear.Deaf:
+		case m.Downlink.Partitioned:
 		case p.Committed && !p.Seen && p.Session == m.Session && !p.Inherited && !p.Direct && !(direct && p.Sent):
 			p.Sent, p.SentAt, p.Direct = true, now, direct
 			start = append(start, wire.Command{Op: wire.OpStart, Task: p.Task, Attempt: p.Attempt})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -150,7 +150,7 @@
 			b.bins = append(b.bins, &bin{kindOf(m), m.Type, m.Room(),
 				max(in.Now+minBoot, m.Since+clock.FromSeconds(m.Type.Boot)), m.Free()})
 		}
-		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed && !m.Ear.Deaf && !in.missing(m) {
+		if !m.Releasing && !m.Draining && m.Notice == 0 && !m.Failed && !m.Downlink.Partitioned && !in.missing(m) {
 			b.supply += m.Type.CPUs
 			if m.Errors == 0 {
 				b.supply -= m.Production()
@@ -415,7 +415,7 @@
 // SpareOn is one machine's part of it: what is free, or held by work that
 // services may stop.
 func (in *Input) SpareOn(m *sched.Machine) float64 {
-	if m.Spot || !m.Up || m.Releasing || m.Draining || m.Retiring || m.Ear.Deaf || m.Errors > 0 ||
+	if m.Spot || !m.Up || m.Releasing || m.Draining || m.Retiring || m.Downlink.Partitioned || m.Errors > 0 ||
 		in.Service != nil && !in.Service.Allows(m.Type, m.Zone, false) {
 		return 0
 	}
--- a/internal/hearing/hearing.go
+++ b/internal/oneway/oneway.go
@@ -1,8 +1,8 @@
-// Package hearing judges, from what a worker reports, whether it hears its controllers at
-// all. A machine whose reports arrive while answers and commands don't reach it looks
+// Package oneway detects one-way partitions: it judges, from what a worker reports, whether
+// anything that its controllers send reaches it. A machine whose reports arrive while answers and commands don't reach it looks
 // alive: it renews nothing, kills its work when its lease ends and begins a new session,
 // again and again. Pure, like sched: no I/O and no clock of its own.
-package hearing
+package oneway
 
 import "lilacthread/internal/clock"
 
@@ -21,69 +21,69 @@
 	SessionLost Sign = 3 // its lease ended although its reports were answered
 )
 
-// enough is the weight of signs since the last proof that makes a machine deaf.
+// enough is the weight of signs since the last proof that makes a machine pass for partitioned.
 const enough = 3
 
-// Ear is what is known of one machine's hearing.
-type Ear struct {
-	Deaf   bool
-	since  Micros // when the first sign of it came, without a proof since
-	lost   bool   // its session moved since: nothing of before is on it
-	signs  Sign
-	at     Micros // of the latest sign
-	asked  Micros // when it was last asked for a proof
-	silent int    // questions without an answer, since it is deaf
+// Detector is what is known of the way from the controllers to one machine.
+type Detector struct {
+	Partitioned bool
+	since       Micros // when the first sign of it came, without a proof since
+	lost        bool   // its session moved since: nothing of before is on it
+	signs       Sign
+	at          Micros // of the latest sign
+	asked       Micros // when it was last asked for a proof
+	silent      int    // questions without an answer, since then
 }
 
 // Proof notes that the machine executed or answered something.
-func (e *Ear) Proof() { *e = Ear{} }
+func (d *Detector) Proof() { *d = Detector{} }
 
 // See notes a sign; within the span that follows another of its weight it is taken for
 // the same one, so that repeats and copies weigh nothing. It reports whether the machine
-// is deaf from now on.
-func (e *Ear) See(s Sign, now, span Micros) bool {
-	if s < SessionLost && e.signs > 0 && now-e.at < span {
+// passes for partitioned from now on.
+func (d *Detector) See(s Sign, now, span Micros) bool {
+	if s < SessionLost && d.signs > 0 && now-d.at < span {
 		return false
 	}
-	if e.signs == 0 {
-		e.since = now
+	if d.signs == 0 {
+		d.since = now
 	}
-	e.signs, e.at = e.signs+s, now
+	d.signs, d.at = d.signs+s, now
 	if s == SessionLost {
-		e.lost = true
+		d.lost = true
 	}
-	if e.Deaf || e.signs < enough {
+	if d.Partitioned || d.signs < enough {
 		return false
 	}
-	e.Deaf, e.silent = true, 0
+	d.Partitioned, d.silent = true, 0
 	return true
 }
 
 // Ask reports whether the machine should be asked for a proof now, and notes that it is:
 // soon after a sign, and ever less often while it stays silent. Whoever asks has one
 // question to a machine under way at a time.
-func (e *Ear) Ask(now Micros) bool {
-	if e.signs == 0 || now-e.asked < min(2*clock.Second<<min(e.silent, 4), 20*clock.Second) {
+func (d *Detector) Ask(now Micros) bool {
+	if d.signs == 0 || now-d.asked < min(2*clock.Second<<min(d.silent, 4), 20*clock.Second) {
 		return false
 	}
-	e.asked = now
+	d.asked = now
 	return true
 }
 
 // Answered notes the outcome of a question: a machine that answers hears.
-func (e *Ear) Answered(ok bool) {
+func (d *Detector) Answered(ok bool) {
 	if ok {
-		e.Proof()
-	} else if e.Deaf {
-		e.silent++
+		d.Proof()
+	} else if d.Partitioned {
+		d.silent++
 	}
 }
 
-// questions is how many must stay without an answer before a deaf machine is given up.
+// questions is how many must stay without an answer before such a machine is given up.
 const questions = 3
 
 // Hopeless reports whether the machine should be returned: it does not answer, and what
 // ran on it is gone or will be before long, as its lease has not been renewed since.
-func (e *Ear) Hopeless(now, lease Micros) bool {
-	return e.Deaf && e.silent >= questions && (e.lost || now-e.since > lease/2)
+func (d *Detector) Hopeless(now, lease Micros) bool {
+	return d.Partitioned && d.silent >= questions && (d.lost || now-d.since > lease/2)
 }
--- a/internal/hearing/hearing_test.go
+++ b/internal/oneway/oneway_test.go
@@ -1,4 +1,4 @@
-package hearing
+package oneway
 
 import (
 	"testing"
@@ -11,7 +11,7 @@
 
 // TestDeaf covers what makes a machine deaf, and what gives it up.
 func TestDeaf(t *testing.T) {
-	var e Ear
+	var e Detector
 	for i := range 10 { // copies of one sign weigh nothing
 		if e.See(OrderLost, Micros(i)*clock.Millisecond, span) {
 			t.Fatal("deaf by one sign")
@@ -33,7 +33,7 @@
 		t.Error("given up when its lease must be ending")
 	}
 	e.Answered(true)
-	if e.Deaf || e.Hopeless(now+clock.Second, 0) {
+	if e.Partitioned || e.Hopeless(now+clock.Second, 0) {
 		t.Error("an answer is a proof that it hears")
 	}
 	if !e.See(SessionLost, now, span) {
@@ -45,7 +45,7 @@
 // and nobody is deaf.
 func TestProofs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var e Ear
+		var e Detector
 		now, weight := Micros(0), Sign(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += Micros(rapid.IntRange(0, 9000).Draw(t, "ms")) * clock.Millisecond
@@ -65,7 +65,7 @@
 					e.Answered(false)
 				}
 			}
-			if e.Deaf && weight < enough {
+			if e.Partitioned && weight < enough {
 				t.Fatalf("deaf by signs of weight %d", weight)
 			}
 		}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -5,7 +5,7 @@
 import (
 	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
-	"lilacthread/internal/hearing"
+	"lilacthread/internal/oneway"
 	"lilacthread/wire"
 )
 
@@ -167,14 +167,14 @@
 	Images map[string]Micros // last use
 	Sizes  map[string]float64
 
-	Ear       hearing.Ear // whether it hears us
-	Away      Micros      // when it was last sent away, to look for a successor
-	Greeted   bool        // a report of it under an older token was answered in this term
-	LostOrder bool        // the latest order was not answered
-	Mute      int         // questions without an answer since its last report
-	Asked     Micros      // when the latest of those was put
-	Doubted   Micros      // when it was last asked whether it was started anew
-	Anew      bool        // it was
+	Downlink  oneway.Detector // whether it hears us
+	Away      Micros          // when it was last sent away, to look for a successor
+	Greeted   bool            // a report of it under an older token was answered in this term
+	LostOrder bool            // the latest order was not answered
+	Mute      int             // questions without an answer since its last report
+	Asked     Micros          // when the latest of those was put
+	Doubted   Micros          // when it was last asked whether it was started anew
+	Anew      bool            // it was
 
 	Errors    int             // failures since the last success
 	ErrorJobs map[string]bool // whose failures those were
@@ -220,7 +220,7 @@
 
 // Usable reports whether new tasks may be placed.
 func (m *Machine) Usable(now, fresh Micros) bool {
-	return m.Up && m.Acked && !m.Draining && !m.Retiring && !m.Releasing && m.Notice == 0 && !m.Failed && !m.Ear.Deaf &&
+	return m.Up && m.Acked && !m.Draining && !m.Retiring && !m.Releasing && m.Notice == 0 && !m.Failed && !m.Downlink.Partitioned &&
 		now-m.Heard <= fresh && now >= m.AvoidTill
 }
 
