A launch that was never answered ends its session before cancel_s is over, once cancelled

Cause: an order may be executed as long as token and session last. Such a machine was drained after two leases, which a long task outlasts; a return needs the cloud. Now its lease is not renewed from the moment on from which another one could outlive cancel_s: the session moves, which proves the launch absent. Ruled out: a new term for this alone, and returning the machine, which costs the same tasks and fails in an outage of the cloud.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -222,11 +222,15 @@
 // margin covers drift of the clocks over a worker's lease, and processing.
 func (c *Core) margin() Micros { return c.pol.Margin + c.cfg.WorkerLease()/500 }
 
+// renewal is the bound on what this node may renew.
+func (c *Core) renewal() lead.Renewal {
+	w := c.cfg.Params.Workers
+	return lead.Renewal{Lease: clock.FromSeconds(w.Lease), Cancel: clock.FromSeconds(w.Cancel), Margin: c.margin()}
+}
+
 // keeping reports whether this node may renew worker leases.
 func (c *Core) keeping() bool {
-	w := c.cfg.Params.Workers
-	r := lead.Renewal{Lease: clock.FromSeconds(w.Lease), Cancel: clock.FromSeconds(w.Cancel), Margin: c.margin()}
-	return c.lead.Leading() && r.Allowed(c.env.Now(), c.lead.Deadline(), c.loaded)
+	return c.lead.Leading() && c.renewal().Allowed(c.env.Now(), c.lead.Deadline(), c.loaded)
 }
 
 // tellFading logs, once it is over, how many leases this leader renewed past its deadline.
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -120,3 +120,17 @@
 	}
 	return some, only
 }
+
+// holdsCancelled reports whether a launch that was never answered may yet start what a user
+// was told is cancelled, and would be given the time for it by another lease. No stop helps,
+// as an order may be executed as long as the session lasts: so that has to end. Found by the
+// scenario meet_order_held_past_cancel, where a cut between leader and machine lasts longer
+// than cancel_s, the machine's reports are forwarded, and it is not empty.
+func (c *Core) holdsCancelled(m *sched.Machine, now Micros) bool {
+	for _, p := range m.Places {
+		if p.Direct && p.Job != nil && p.Job.Cancelled && p.Job.Over > 0 && c.renewal().Outlives(now, p.Job.Over) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -90,6 +90,9 @@
 		m.Away = now
 		return ReportAnswer{Code: 503}
 	}
+	if r.Session == m.Session && c.holdsCancelled(m, now) {
+		return ReportAnswer{Code: 503}
+	}
 	if !c.lead.Authority() {
 		c.fading++
 	}
--- a/internal/lead/renewal.go
+++ b/internal/lead/renewal.go
@@ -22,3 +22,7 @@
 func (r Renewal) Allowed(now, deadline clock.Micros, informed bool) bool {
 	return informed && now < deadline+r.Fade()
 }
+
+// Outlives reports whether a lease renewed now might outlive what users were told at the given
+// time: from then on a worker that may yet start a cancelled task must not be renewed.
+func (r Renewal) Outlives(now, told clock.Micros) bool { return now >= told+r.Fade() }
--- a/internal/lead/renewal_test.go
+++ b/internal/lead/renewal_test.go
@@ -35,6 +35,9 @@
 				t.Errorf("%+v at %v, informed %v: %v", x, c.now, c.informed, got)
 			}
 		}
+		if told := 50 * s; r.Outlives(told+x.fade-1, told) || !r.Outlives(told+x.fade, told) {
+			t.Errorf("%+v: outlives", x)
+		}
 		// A worker's clock may be slow by 0.05%, and so may ours.
 		if ends := last + x.lease + (x.lease+x.fade)/1000; x.fade > 0 && ends > deadline+x.cancel {
 			t.Errorf("%+v: a lease ends %v late", x, ends-deadline-x.cancel)
