--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -23,6 +23,7 @@
 	w      *World
 	until  Micros
 	expect []func() error
+	at     int // the line being done
 }
 
 type args struct {
@@ -65,16 +66,16 @@
 
 // Play runs a scenario and returns what went wrong.
 func Play(text string) (err error) {
+	s := &script{until: 300 * sec}
 	defer func() {
 		if r := recover(); r != nil {
-			if s, ok := r.(string); ok { // a mistake in the scenario
-				err = fmt.Errorf("%s", s)
+			if what, ok := r.(string); ok { // a mistake in the scenario
+				err = fmt.Errorf("line %d: %s", s.at, what)
 				return
 			}
 			panic(r)
 		}
 	}()
-	s := &script{until: 300 * sec}
 	s.w = NewWorld(3, []string{"a", "b"}, 7)
 	for n, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
@@ -83,16 +84,24 @@
 			continue
 		}
 		at := Micros(0)
+		s.at = n + 1
 		if fields[0] == "at" {
+			if len(fields) < 3 {
+				panic("at: a time and a verb are needed")
+			}
 			t, err := strconv.ParseFloat(fields[1], 64)
 			if err != nil {
-				return fmt.Errorf("line %d: %w", n+1, err)
+				panic("at: " + fields[1] + " is no time")
 			}
 			at, fields = Micros(t*1e6), fields[2:]
 		}
-		do := s.verb(fields[0], parseArgs(fields[1:]))
-		if do == nil {
-			return fmt.Errorf("line %d: unknown verb %q", n+1, fields[0])
+		verb := s.verb(fields[0], parseArgs(fields[1:]))
+		if verb == nil {
+			panic("unknown verb " + fields[0])
+		}
+		do := func() {
+			s.at = n + 1
+			verb()
 		}
 		if at > 0 {
 			s.w.At(at, do)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -31,6 +31,28 @@
 	}
 }
 
+// TestBadLines shows that a mistake in a scenario fails it and names the line, whether it is
+// found as the line is read or as it is done.
+func TestBadLines(t *testing.T) {
+	for line, want := range map[string]string{
+		"explode node-1":           "unknown verb explode",
+		"at":                       "at: a time and a verb are needed",
+		"at soon kill leader":      "soon is no time",
+		"at 3 kill node-9":         "no node node-9",
+		"at 3 kill leader for=x":   "for=x: not a number",
+		"at 3 cancel req-000009":   "nobody submitted req-000009",
+		"at 3 resubmit req-000009": "nobody submitted req-000009",
+		"at 3 hang of=req-000009":  "no machine runs req-000009",
+		"submit req-000001 choir":  "kind or priority of req-000001",
+		"run long":                 "run: long",
+	} {
+		err := Play("type t cpus=8 boot=10\n\n" + line + "\nrun 5\n")
+		if err == nil || !strings.HasPrefix(err.Error(), "line 3: ") || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+}
+
 // TestCheckerCatches shows that each rule's violation is seen.
 func TestCheckerCatches(t *testing.T) {
 	const id, task = "req-000001", "req-000001/0"
