A node that can't ask the leader looks up what a waiting job needs before it says nothing

Refusing all of them (503) left a job unanswered at every node but the leader where the leader is cut from the others for long; up to eight needs are looked up now.

--- a/internal/controller/graph.go
+++ b/internal/controller/graph.go
@@ -166,10 +166,32 @@
 	})
 }
 
-// waitsLong reports whether a job's record is of one that awaits others, accepted a while ago.
-func (c *Core) waitsLong(record []byte) bool {
+// needsRead is how many needs of a job are looked up for a query.
+const needsRead = 8
+
+// unlessDoomed answers from the record of a job that has not begun, unless something that it
+// awaits is found cancelled, or can't be found out.
+func (c *Core) unlessDoomed(record []byte, a Answer, reply func(Answer)) {
 	var r jobRecord
-	return msgpack.Unmarshal(record, &r) != nil || (len(r.Job.Awaits) > 0 || r.Parts > 0) && c.old(c.steady(r.At))
+	switch err := msgpack.Unmarshal(record, &r); {
+	case err == nil && (len(r.Job.Awaits) == 0 && r.Parts == 0 || !c.old(c.steady(r.At))):
+		reply(a)
+		return
+	case err != nil || r.Parts > 0 || len(r.Job.Awaits) > needsRead:
+		reply(unavailable)
+		return
+	}
+	left := len(r.Job.Awaits)
+	for _, id := range r.Job.Awaits {
+		c.lookup(id, func(need Answer) {
+			if need.Code != 200 || need.Status.Phase == wire.PhaseCancelled {
+				a = unavailable
+			}
+			if left--; left == 0 {
+				reply(a)
+			}
+		})
+	}
 }
 
 // needRetry is the pause before a need that could not be read is read again.
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -439,8 +439,8 @@
 					c.addRecords(l.Items, nil) // the watch has not brought it yet
 					c.wake()
 				}
-				if progress.Ready == 0 && c.waitsLong(record) {
-					reply(unavailable)
+				if progress.Ready == 0 {
+					c.unlessDoomed(record, Answer{Code: 200, Status: st}, reply)
 					return
 				}
 			}
