A lead that lapsed for long is given up when it is certain again, and all is read anew

Cause: since a cut-off leader keeps its lead, the one of an outage longer than a lease led on with what it had judged by its workers' silence: machines silent and empty, idle for a minute. Ruled out: counting time as after an election alone, idle machines were returned all the same. Now it resigns as soon as its authority is back and is elected again, or another is, in some 10 ms.

Scenario meet_outage_keeps_fleet.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -88,6 +88,7 @@
 	strays    map[string]*stray // workers that reported while not leading
 	early     []func()          // reports that came before the records were read
 	fading    int               // leases renewed past this leader's deadline
+	lapsed    bool              // it was past its deadline for long, in this term
 	isReady   bool
 	catalog   []wire.MachineType
 	intake    intake
@@ -387,7 +388,7 @@
 // elected begins a term: all state is read again from the state service.
 func (c *Core) elected(term uint64) {
 	now := c.env.Now()
-	c.term, c.electedAt, c.loaded = term, now, false
+	c.term, c.electedAt, c.loaded, c.lapsed = term, now, false, false
 	c.lastReport, c.moved, c.moves = now, now, 0
 	c.jobs = map[string]*sched.Job{}
 	c.finals = map[string]finalRecord{}
@@ -474,6 +475,13 @@
 		// Giving up a lead that is over helps nobody, and one cut off has sent its workers
 		// away itself: they come back to be kept where they find no successor.
 		c.lastReport = now
+		c.lapsed = c.lapsed || c.loaded && now-c.lead.Deadline() > c.cfg.WorkerLease()/2
+	} else if c.lapsed {
+		// The key was never lost, but the workers look elsewhere, and all that was judged by
+		// their silence is wrong: one that led on returned the whole fleet after an outage
+		// longer than a lease (scenario meet_outage_keeps_fleet). All is read again.
+		c.lead.Resign("the state service was out of reach for long", 0)
+		return
 	} else if c.isolated(now) {
 		c.lead.Resign("no worker reaches this node", 15*clock.Second)
 		return
