What is in doubt is not told from memory; close looks, lost answers, mute machines in the sim

A job's end was carried out in the state service and its answer lost; a controller that did not hear the leader read the end and told it; the leader, by its memory, said running until the transaction was fenced off and written again, 1.6 s or more later.

Now the leader marks a job from the moment its end is rendered for sending until it is known to be committed, and of such a job asks the state service instead of its memory. Where nothing may be read, 503.

Scenarios meet_answer_lost_at_end and chaos_looks fail on the code before.

--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -226,10 +226,13 @@
 	})
 }
 
-// remembered answers for a job from the leader's memory alone.
+// remembered answers for a job from the leader's memory alone. It is the one place where
+// memory is told to users, and tells what is committed and known to be: nothing of a job
+// whose end is in doubt, since another node may have read and told it (users' trials and
+// scenario meet_answer_lost_at_end: done, then running).
 func (c *Core) remembered(id string) (Answer, bool) {
 	if c.Serving() {
-		if j := c.jobs[id]; j != nil && c.old(j.Submitted) && c.uncertain(j) {
+		if j := c.jobs[id]; j != nil && (j.InDoubt() || c.old(j.Submitted) && c.uncertain(j)) {
 			return unavailable, true
 		} else if j != nil {
 			return Answer{Code: 200, Status: statusOf(j)}, true
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -158,7 +158,9 @@
 		if c.jobs[j.ID] != j && c.commit.keys[finalPrefix+j.ID] == nil {
 			return []wire.Change{{Delete: key}}, true
 		}
-		return []wire.Change{{Put: key, Value: wire.Encode(c.progressOf(j))}}, true
+		rec := c.progressOf(j)
+		j.Sent = j.Sent || rec.Phase != ""
+		return []wire.Change{{Put: key, Value: wire.Encode(rec)}}, true
 	}, done)
 }
 
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -372,10 +372,14 @@
 	})
 }
 
+// statusHere answers on the leader: from memory, or from the state service for a job that is
+// not there or whose end is in doubt.
 func (c *Core) statusHere(id string, reply func(Answer)) {
-	if a, ok := c.remembered(id); ok {
-		reply(a)
-		return
+	if j := c.jobs[id]; j == nil || !j.InDoubt() {
+		if a, ok := c.remembered(id); ok {
+			reply(a)
+			return
+		}
 	}
 	c.lookup(id, reply)
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -49,6 +49,7 @@
 
 	Cancelled bool   // decided, perhaps not yet committed
 	Shown     string // the final phase once committed
+	Sent      bool   // the final phase was sent to the state service, which may hold it
 	Ended     bool   // cancelled, or all tasks done
 
 	HoldUntil Micros          // failed on several machines: not placed before
@@ -82,6 +83,10 @@
 	Progress Micros // saved progress, as far as known
 }
 
+// InDoubt reports whether the state service may hold the job's end though that is not known:
+// the transaction is under way, or got no answer. Others may have read it there and told it.
+func (j *Job) InDoubt() bool { return j.Sent && j.Shown == "" }
+
 // Active reports whether the job still wants to run.
 func (j *Job) Active() bool { return !j.Cancelled && !j.Ended }
 
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -64,12 +64,18 @@
 	orphan   bool // a job before it was cancelled so long ago that it must be too
 }
 
-// Asking notes the facts that bind the answer to a request sent now.
+// Asking notes the facts that bind the answer to a request sent now, and since when the
+// user wants to know.
 func (c *Checker) Asking(id string) facts {
+	if j := c.jobs[id]; j != nil && j.accepted && j.asked == 0 {
+		j.asked = max(c.Now(), 1)
+	}
+	return c.binding(id)
+}
+
+// binding gives the facts that bind the answer to a request sent now.
+func (c *Checker) binding(id string) facts {
 	if j := c.jobs[id]; j != nil {
-		if j.accepted && j.asked == 0 {
-			j.asked = max(c.Now(), 1)
-		}
 		late := func(n *judged) bool { return n.told && c.Now() > max(n.goneBy, j.since+n.goneBy-n.toldAt) }
 		return facts{j.accepted, j.final, j.accepted && c.before(j, late)}
 	}
@@ -255,15 +261,17 @@
 	}
 }
 
-// Completed notes that a task is done.
-func (c *Checker) Completed(task string) {
+// Completed notes that a task is done; it reports whether its job is with it.
+func (c *Checker) Completed(task string) bool {
 	id, index, _ := wire.SplitTask(task)
 	if j := c.jobs[id]; j != nil {
 		j.doneTasks[index] = true
 		if len(j.doneTasks) == j.job.Tasks && j.doneAt == 0 {
 			j.doneAt = c.Now()
+			return true
 		}
 	}
+	return false
 }
 
 // Sweep judges what time alone makes wrong.
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -199,7 +199,7 @@
 // troubles are the verbs that make something go wrong, for a while or at once.
 var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true, "apart": true,
 	"refuse": true, "outage": true, "late-txn": true, "late-writes": true, "lost-answer": true, "late-order": true, "slow-reports": true,
-	"late-rent": true, "late-return": true, "no-boot": true, "hang": true, "deaf": true, "dead": true, "copies": true, "reborn": true, "sick": true,
+	"late-rent": true, "late-return": true, "no-boot": true, "hang": true, "deaf": true, "mute": true, "dead": true, "copies": true, "reborn": true, "sick": true,
 	"notice": true, "take": true, "wave": true, "upgrade": true}
 
 // verb gives what a line does, and tells the checker until when its trouble lasts.
@@ -452,7 +452,7 @@
 		}
 	case "late-writes": // of any node; see lateWrites
 		return func() {
-			w.State.LateOnes = &lateWrites{a.num("share", 0.3), rand.New(rand.NewPCG(uint64(w.now), 5))}
+			w.State.LateOnes = &lateWrites{a.num("share", 0.3), rand.New(rand.NewPCG(uint64(w.now), 5)), a.has("at-once")}
 			w.After(span("for", 20), func() { w.State.LateOnes = nil })
 		}
 	case "lost-answer":
@@ -482,10 +482,26 @@
 			w.deaf[id] = true
 			w.After(span("for", 20), func() { delete(w.deaf, id) })
 		}
-	case "copies": // of reports come again, at any node
+	case "mute": // a machine reaches no controller, while orders reach it
 		return func() {
-			w.copies = &copying{a.num("share", 0.5), span("by", 20), rand.New(rand.NewPCG(uint64(w.now), 4))}
-			w.After(span("for", 60), func() { w.copies = nil })
+			id := s.worker(a).id
+			w.mute[id] = true
+			w.After(span("for", 20), func() { delete(w.mute, id) })
+		}
+	case "copies": // of reports come again, at any node, or at all nodes once there is a new leader
+		return func() {
+			c := &copying{a.num("share", 0.5), span("by", 20), rand.New(rand.NewPCG(uint64(w.now), 4)), a.has("for-next"), nil}
+			w.copies = c
+			w.After(span("for", 60), func() {
+				if w.copies == c {
+					w.copies = nil
+				}
+			})
+		}
+	case "close-looks": // see looks
+		return func() {
+			w.looks = &looks{a.num("cancels", 0), rand.New(rand.NewPCG(uint64(w.now), 6))}
+			w.After(span("for", 1e6), func() { w.looks = nil })
 		}
 	case "dead": // a machine stops with all that is on it; the list goes on naming it
 		return func() { s.worker(a).die() }
@@ -497,7 +513,7 @@
 		return func() { s.worker(a).Notify(span("in", 8)) }
 	case "take":
 		return func() { w.Cloud.remove(s.worker(a).id) }
-	case "wave": // many machines at once: hang, cut, deaf, reborn, sick, or taken
+	case "wave": // many machines at once: hang, cut, deaf, mute, reborn, sick, or taken
 		return func() {
 			rng := rand.New(rand.NewPCG(uint64(w.now), 3))
 			for _, id := range sortedKeys(w.Cloud.Machines) {
@@ -513,6 +529,9 @@
 				case "deaf":
 					w.deaf[id] = true
 					w.After(span("for", 10), func() { delete(w.deaf, id) })
+				case "mute":
+					w.mute[id] = true
+					w.After(span("for", 10), func() { delete(w.mute, id) })
 				case "reborn":
 					x.Reborn()
 				case "sick":
@@ -539,12 +558,15 @@
 // job that nobody cancelled must be done. From the given time on, jobs await
 // others. With more, of up to 6, come deaf machines, late copies, leaders without state
 // service and peers, machines started anew, and processes back at once; of up to 9, transactions
-// carried out late, the gap of two outages, and returns executed late. With a size above 1, jobs are so many times larger, and troubles come over
+// carried out late, the gap of two outages, and returns executed late; of up to 12, answers of
+// transactions lost, mute machines, and reports kept for the next leader. With a size above 1, jobs are so many times larger, and troubles come over
 // many machines at once. With pairs, a second trouble meets each within some seconds, and
 // users cancel more often.
 func (s *script) chaos(seed uint64, from, to, every, pipelines Micros, size, more int, pairs bool) {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	jobs := 0
+	waves := []string{"hang", "cut", "sick", "taken", "deaf", "reborn", "mute"}
+	waves = waves[:4+min(more/3, 2)+more/12]
 	line := func(t Micros, format string, args ...any) {
 		s.line(t, parseArgs(strings.Fields(fmt.Sprintf(format, args...))))
 	}
@@ -587,7 +609,7 @@
 		victim := fmt.Sprintf("of=req-%06d", 1+rng.IntN(jobs))
 		span := 2 + rng.IntN(20)
 		if size > 1 && rng.IntN(3) == 0 {
-			kind := []string{"hang", "cut", "sick", "taken", "deaf", "reborn"}[rng.IntN(4+min(more/3, 2))]
+			kind := waves[rng.IntN(len(waves))]
 			line(t, "wave %s share=0.%d for=%d", kind, 1+rng.IntN(6), span)
 		}
 		switch rng.IntN(16 + more) {
@@ -645,6 +667,16 @@
 			line(t+Micros(1+rng.IntN(12))*sec, "outage state for=%d", 30+rng.IntN(40))
 		case 24:
 			line(t, "late-return by=%d", span)
+		case 25: // carried out, the answer lost, and others read it
+			line(t, "late-writes at-once share=0.%d for=%d", 2+rng.IntN(8), 2*span)
+			if rng.IntN(2) == 0 {
+				line(t, "cut leader peers %s for=%d", mode(), 2*span)
+			}
+		case 26:
+			line(t, "mute %s for=%d", victim, 2*span)
+		case 27:
+			line(t, "copies for-next share=0.%d by=%d for=%d", 1+rng.IntN(9), 2+rng.IntN(20), 3*span)
+			line(t+Micros(rng.Int64N(int64(3*span)))*sec, "kill leader for=%d", 1+rng.IntN(8))
 		}
 	}
 	for t := from; t < to; t += every/2 + Micros(rng.Int64N(int64(every))) {
@@ -787,6 +819,16 @@
 				return fmt.Errorf("t=%v: term %d", w.now.Seconds(), n)
 			}
 			return nil
+		case "looks": // that were answered
+			if w.Looked < int(a.num("min", 1)) {
+				return fmt.Errorf("t=%v: %d close looks", w.now.Seconds(), w.Looked)
+			}
+			return nil
+		case "kept-copies": // that came to a new leader
+			if w.Copied < int(a.num("min", 1)) {
+				return fmt.Errorf("t=%v: %d reports came to a new leader", w.now.Seconds(), w.Copied)
+			}
+			return nil
 		case "late-txns": // that were carried out late, with no answer
 			if w.State.Delayed < int(a.num("min", 1)) {
 				return fmt.Errorf("t=%v: %d late transactions", w.now.Seconds(), w.State.Delayed)
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -126,18 +126,24 @@
 }
 
 // lateWrites is the users' trouble of that name: of a share of the transactions, whoever
-// sends them, there is no answer, and they are applied 2 to 12 s later, after newer ones.
+// sends them, there is no answer, and they are applied 2 to 12 s later, after newer ones;
+// or at once, so that only the answer is lost.
 type lateWrites struct {
-	share float64
-	rng   *rand.Rand
+	share  float64
+	rng    *rand.Rand
+	atOnce bool
 }
 
-// drawLate says how much later a transaction is applied; 0: at once, with an answer.
-func (s *State) drawLate() Micros {
-	if l := s.LateOnes; l != nil && l.rng.Float64() < l.share {
-		return 2*sec + Micros(l.rng.Int64N(int64(10*sec)))
+// drawLate says whether a transaction gets no answer, and how much later it is applied.
+func (s *State) drawLate() (Micros, bool) {
+	l := s.LateOnes
+	if l == nil || l.rng.Float64() >= l.share {
+		return 0, false
 	}
-	return 0
+	if l.atOnce {
+		return ms, true
+	}
+	return 2*sec + Micros(l.rng.Int64N(int64(10*sec))), true
 }
 
 func (s *State) apply(changes []wire.Change) {
@@ -151,6 +157,9 @@
 		}
 		s.members(c.Put, c.Value)
 		s.checkPlaces(c)
+		if c.Put == lead.TermKey {
+			s.w.elected()
+		}
 		s.items[c.Put] = &wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
 		s.log = append(s.log, wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
 	}
@@ -386,8 +395,8 @@
 	d, late := s.Late[name]
 	if late = late && hit; late {
 		delete(s.Late, name)
-	} else if d = s.drawLate(); d > 0 && !s.Outage && !s.Refuse[name] {
-		late = true
+	} else if !s.Outage && !s.Refuse[name] {
+		d, late = s.drawLate()
 	}
 	if late {
 		s.Delayed++
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -158,6 +158,10 @@
 		x.node = (x.node + 1) % len(w.Nodes)
 		next(sec)
 	}
+	if w.mute[x.id] { // no connection comes about
+		other()
+		return
+	}
 	rep := x.snapshot()
 	slow := w.SlowReports
 	answered := func(a controller.ReportAnswer) {
@@ -318,10 +322,10 @@
 		x.later(t, run, func() {
 			if t.job.Kind == wire.KindGang { // when one is done, all are
 				for i := range t.job.Tasks {
-					x.w.Rules.Completed(wire.TaskID(t.job.ID, i))
+					x.w.completed(wire.TaskID(t.job.ID, i))
 				}
 			}
-			x.w.Rules.Completed(t.task)
+			x.w.completed(t.task)
 			x.exit(t, wire.CauseDone, false)
 		})
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -80,12 +80,16 @@
 	SlowReports Micros
 	// Users come back when told, from 1 s on; impatient ones after this time.
 	Impatient Micros
+	Looked    int      // answers to those who look closely
 	Answers   []Micros // how long submissions waited for an answer
 	// Submissions of accepted jobs that were refused all the same.
 	KnownRefused int
+	Copied       int   // reports that were kept for a new leader and came to it
 	live         *Live // nil in virtual time
 	cuts         map[[2]string]Cut
 	deaf         map[string]bool // hosts that nothing reaches
+	mute         map[string]bool // machines that reach no controller
+	looks        *looks
 	copies       *copying
 	held         map[[2]string][]func()
 }
@@ -93,7 +97,7 @@
 // NewWorld makes a world with the given number of controllers.
 func NewWorld(nodes int, zones []string, seed uint64) *World {
 	w := &World{rng: rand.New(rand.NewPCG(seed, 1)), pol: policy.Default(), Users: map[string]*User{},
-		cuts: map[[2]string]Cut{}, deaf: map[string]bool{}, held: map[[2]string][]func(){}}
+		cuts: map[[2]string]Cut{}, deaf: map[string]bool{}, mute: map[string]bool{}, held: map[[2]string][]func(){}}
 	p := &w.Config.Params
 	p.Size, p.Zones = nodes, zones
 	p.Workers.Report, p.Workers.Lease, p.Workers.Cancel = 1, 10, 40
@@ -150,11 +154,14 @@
 	}
 }
 
-// copying has a share of the machines' reports arrive once more, later, at any node.
+// copying has a share of the machines' reports arrive once more, later, at any node, or
+// at all nodes once there is a new leader.
 type copying struct {
-	share float64
-	by    Micros
-	rng   *rand.Rand
+	share   float64
+	by      Micros
+	rng     *rand.Rand
+	forNext bool
+	kept    []func()
 }
 
 // drawCopy says at which node, if any, a copy of a report arrives, and how much later.
@@ -173,7 +180,7 @@
 		return
 	}
 	body := wire.Encode(rep)
-	w.After(after, func() {
+	deliver := func(n *Node) {
 		if n.Up() {
 			got, err := wire.DecodeReport(body)
 			if err != nil {
@@ -181,7 +188,29 @@
 			}
 			n.core.TakeReport(got, func(controller.ReportAnswer) {})
 		}
-	})
+	}
+	if w.copies.forNext {
+		w.copies.kept = append(w.copies.kept, func() {
+			w.Copied++
+			for _, n := range w.Nodes {
+				w.After(after-w.copies.by/10, func() { deliver(n) })
+			}
+		})
+		return
+	}
+	w.After(after, func() { deliver(n) })
+}
+
+// elected is told of a new leader.
+func (w *World) elected() {
+	if w.copies == nil {
+		return
+	}
+	kept := w.copies.kept
+	w.copies.kept = nil
+	for _, f := range kept {
+		f()
+	}
 }
 
 // send carries a message from one host to another.
@@ -355,7 +384,8 @@
 	at       string // the node that its open connection leads to; "": the load balancer chooses
 	first    Micros // attempt to submit
 	accepted bool
-	refused  int // answers 429
+	refused  int    // answers 429
+	heard    string // queued, done or cancelled, by whatever answer
 }
 
 // Submit has a user submit a job and follow it until it is over.
@@ -383,7 +413,11 @@
 		w.After(100*ms, func() { done(controller.Answer{Code: 503}) })
 		return
 	}
-	n := up[w.rng.IntN(len(up))]
+	w.askAt(up[w.rng.IntN(len(up))], f, done)
+}
+
+// askAt has a user ask a node.
+func (w *World) askAt(n *Node, f func(c *controller.Core, reply func(controller.Answer)), done func(controller.Answer)) {
 	w.call("users", n.name, 5*sec, func(respond func(func())) {
 		if !n.Up() {
 			return
@@ -392,6 +426,62 @@
 	}, func() { done(controller.Answer{Code: 0}) })
 }
 
+// looks is the users' trouble of that name: as soon as a job is accepted, has ended, or is
+// called done or cancelled, they ask at all nodes again and again within milliseconds, and
+// repeat the submission; of a share of the jobs that end they ask that it be cancelled.
+type looks struct {
+	cancels float64
+	rng     *rand.Rand
+}
+
+// lookAt has a user look closely at a job of which something new is known.
+func (w *World) lookAt(id string, over bool) {
+	l, u := w.looks, w.Users[id]
+	if l == nil || u == nil {
+		return
+	}
+	ask := func(after Micros, n *Node, f func(c *controller.Core, reply func(controller.Answer))) {
+		w.After(after, func() {
+			bound := w.Rules.binding(id)
+			w.askAt(n, f, func(a controller.Answer) {
+				w.Looked++
+				switch a.Code {
+				case 200, 201:
+					w.Rules.Polled(id, bound, a)
+					u.told(a.Status.Phase)
+				case 400, 422:
+					w.Rules.Submitted(id, bound, a)
+				case 404:
+					w.Rules.Polled(id, bound, a)
+				}
+			})
+		})
+	}
+	status := func(c *controller.Core, reply func(controller.Answer)) { c.Status(id, reply) }
+	for _, n := range w.Nodes {
+		for _, within := range []Micros{5 * ms, 100 * ms, 2 * sec} {
+			ask(Micros(l.rng.Int64N(int64(within))), n, status)
+		}
+	}
+	again := w.Nodes[l.rng.IntN(len(w.Nodes))]
+	ask(Micros(l.rng.Int64N(int64(500*ms))), again, func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) })
+	if over && l.rng.Float64() < l.cancels {
+		n := w.Nodes[l.rng.IntN(len(w.Nodes))]
+		ask(Micros(l.rng.Int64N(int64(50*ms))), n, func(c *controller.Core, reply func(controller.Answer)) {
+			w.Rules.AskedCancel(id)
+			c.Cancel(id, reply)
+		})
+	}
+}
+
+// completed notes that a task is done.
+func (w *World) completed(task string) {
+	if w.Rules.Completed(task) {
+		id, _, _ := wire.SplitTask(task)
+		w.lookAt(id, true)
+	}
+}
+
 func (u *User) submit() {
 	asked := u.w.now
 	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) },
@@ -476,6 +566,13 @@
 // told has the checker count from when the user heard, by whatever answer, that the job
 // is cancelled.
 func (u *User) told(phase string) {
+	if phase == wire.PhaseQueued || phase == wire.PhaseRunning {
+		phase = wire.PhaseQueued // as far as it may not go back
+	}
+	if phase != u.heard && (u.heard == "" || phase != wire.PhaseQueued) {
+		u.heard = phase
+		u.w.lookAt(u.job.ID, false)
+	}
 	if phase == wire.PhaseCancelled {
 		u.w.Rules.ToldCancelled(u.job.ID, u.w.now+Micros(u.w.Config.Params.Workers.Cancel*1e6))
 	}
