--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -40,7 +40,7 @@
 func (c *Core) Submit(job *wire.Job, reply func(Answer)) {
 	if c.catalog != nil {
 		if why := c.impossible(job); why != "" {
-			c.refuseNew(job, Answer{Code: 422, Status: wire.JobStatus{ID: why}}, reply)
+			c.refuseNew(job.ID, Answer{Code: 422, Status: wire.JobStatus{ID: why}}, reply)
 			return
 		}
 	}
@@ -55,10 +55,15 @@
 	c.submitHere(job, true, reply)
 }
 
+// Malformed takes a submission that lacks a field or has one that is not valid.
+func (c *Core) Malformed(id, why string, reply func(Answer)) {
+	c.refuseNew(id, Answer{Code: 400, Status: wire.JobStatus{ID: why}}, reply)
+}
+
 // refuseNew refuses a job for good unless it is known: one that was accepted stays accepted,
-// whatever the settings, its awaits and the limits of the state service say now.
-func (c *Core) refuseNew(job *wire.Job, refusal Answer, reply func(Answer)) {
-	c.Status(job.ID, func(a Answer) {
+// whatever the submission, the settings, its awaits and the limits of the state service say now.
+func (c *Core) refuseNew(id string, refusal Answer, reply func(Answer)) {
+	c.Status(id, func(a Answer) {
 		if a.Code == 404 {
 			a = refusal
 		}
@@ -117,7 +122,7 @@
 		if v.why != "" {
 			refusal = Answer{Code: 422, Status: wire.JobStatus{ID: v.why}}
 		}
-		c.refuseNew(job, refusal, reply)
+		c.refuseNew(job.ID, refusal, reply)
 	})
 }
 
@@ -134,7 +139,7 @@
 	}
 	changes, why := c.jobChanges(job)
 	if why != "" {
-		c.refuseNew(job, Answer{Code: 400, Status: wire.JobStatus{ID: why}}, reply)
+		c.Malformed(job.ID, why, reply)
 		return
 	}
 	c.purse.Saw(account, len(changes), now)
@@ -268,6 +273,7 @@
 		txn.Then = append(txn.Then, s.changes...)
 	}
 	c.intake.busy = true
+	term, leading := c.term, c.lead.Leading()
 	c.writes.Spend(at, admit.Submits, len(txn.Then))
 	c.env.State().Txn(txn, func(o store.Outcome, a *wire.TxnAnswer) {
 		c.intake.busy = false
@@ -278,7 +284,8 @@
 				if s.job.Kind != wire.KindService {
 					c.noteAccepted(s.job.ID)
 				}
-				if c.lead.Leading() && c.loaded {
+				if leading && c.lead.Leading() && c.term == term && c.loaded {
+					// In this term only this node can have ended it since, and would know.
 					c.addSubmitted(s)
 					c.wake()
 				}
@@ -340,7 +347,7 @@
 	for _, s := range batch {
 		changes, why := c.jobChanges(s.job)
 		if why != "" {
-			c.refuseNew(s.job, Answer{Code: 400, Status: wire.JobStatus{ID: why}}, s.reply)
+			c.Malformed(s.job.ID, why, s.reply)
 			continue
 		}
 		s.changes = changes
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -138,6 +138,9 @@
 		{"GET", "/ready", "", 503, false},
 		{"POST", "/v2/runs", "", 400, false},
 		{"POST", "/v2/runs", "{}", 400, false},
+		// What lacks a field is 400 unless the job is known, which this node can't find out.
+		{"POST", "/v2/runs", "\x81\xa3uid\xaareq-000001", 503, true},
+		{"POST", "/v2/runs", "\x81\xa3uid\xa5job-1", 400, false},
 		{"POST", "/v2/runs", job + "x", 400, false},
 		{"POST", "/v2/runs", strings.Repeat("\x91", 60_000), 400, false},
 		{"POST", "/v2/runs", job + strings.Repeat("x", wire.MaxBody), 400, false},
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -40,6 +40,7 @@
 	began     Micros // when its first task was on a machine; 0: never
 	whole     Micros // when all were at once
 	zones     map[string]int
+	roomSince Micros // since when it waits although it could be placed; 0: it does not
 }
 
 // NewChecker makes a checker.
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"lilacthread/internal/config"
+	"lilacthread/internal/controller"
 	"lilacthread/internal/policy"
 	"lilacthread/wire"
 )
@@ -118,6 +119,9 @@
 	var sweep func()
 	sweep = func() {
 		s.w.Rules.Sweep(s.w.now)
+		if s.w.now%(5*sec) == 0 {
+			s.w.judgeWaiting()
+		}
 		s.w.After(sec, sweep)
 	}
 	sweep()
@@ -199,6 +203,7 @@
 // troubles are the verbs that make something go wrong, for a while or at once.
 var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true, "apart": true,
 	"refuse": true, "outage": true, "late-txn": true, "late-writes": true, "lost-answer": true, "late-order": true, "slow-reports": true,
+	"slow-links": true, "zone-cut": true,
 	"late-rent": true, "late-return": true, "no-boot": true, "hang": true, "deaf": true, "mute": true, "dead": true, "copies": true, "reborn": true, "sick": true,
 	"notice": true, "take": true, "wave": true, "upgrade": true}
 
@@ -240,7 +245,15 @@
 		return func() { w.Cloud.Capacity[a.word(0)] = int(a.num("count", 0)) }
 	case "submit":
 		job := s.job(a)
-		return func() { w.Submit(job) }
+		return func() {
+			if a.has("malformed") { // a field is missing
+				w.Follow(job).submitAs(func(c *controller.Core, reply func(controller.Answer)) {
+					c.Malformed(job.ID, "a field is missing", reply)
+				})
+				return
+			}
+			w.Submit(job)
+		}
 	case "many": // small jobs, req-100000 on
 		return func() {
 			for i := range int(a.num("count", 10)) {
@@ -280,13 +293,19 @@
 			if err != nil {
 				panic("burst: " + id)
 			}
+			every := int(a.num("cancel", 0)) // so many are cancelled: each at some instant of its first seconds
+			rng := rand.New(rand.NewPCG(uint64(first), 7))
 			for i := range count {
 				job := s.job(a)
 				job.ID = fmt.Sprintf("req-%06d", first+i)
-				w.After(span("over", 0)*Micros(i)/Micros(count), func() { w.Submit(job) })
+				at := w.now + span("over", 0)*Micros(i)/Micros(count)
+				w.At(at, func() { w.Submit(job) })
+				if every > 0 && i%every == 0 {
+					s.line(at+Micros(rng.Int64N(int64(span("within", 20)))), args{words: []string{"cancel", job.ID}})
+				}
 			}
 		}
-	case "resubmit":
+	case "resubmit": // as it was, or with others: that fit nowhere, or are less; or without a field
 		return func() {
 			first, _ := strconv.Atoi(strings.TrimPrefix(a.word(0), "req-")) // checked when it was submitted
 			for i := range int(a.num("count", 1)) {
@@ -294,7 +313,20 @@
 				if u == nil {
 					panic("resubmit: nobody submitted " + a.word(0))
 				}
-				u.submit()
+				switch other := *u.job; {
+				case a.has("other"), a.has("less"):
+					if other.CPUs = 1e6; a.has("less") {
+						other = *u.job
+						other.Tasks = 1
+					}
+					u.submitAs(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(&other, reply) })
+				case a.has("malformed"):
+					u.submitAs(func(c *controller.Core, reply func(controller.Answer)) {
+						c.Malformed(other.ID, "a field is missing", reply)
+					})
+				default:
+					u.submit()
+				}
 			}
 		}
 	case "poll": // at a node, ready or not, or where the load balancer chooses
@@ -407,6 +439,37 @@
 				}
 			}
 		}
+	case "zone-cut": // a zone's machines, and a controller in it, from all that is elsewhere
+		return func() {
+			mode := Drop
+			if a.has("hold") {
+				mode = Hold
+			}
+			inside, outside := []string{s.node(a.word(1)).name}, []string{"state", "cloud", "users"}
+			for _, id := range sortedKeys(w.Cloud.Machines) {
+				if w.Cloud.Machines[id].zone == a.word(0) {
+					inside = append(inside, id)
+				} else {
+					outside = append(outside, id)
+				}
+			}
+			for _, n := range w.Nodes {
+				if n.name != inside[0] {
+					outside = append(outside, n.name)
+				}
+			}
+			for _, from := range inside {
+				for _, to := range outside {
+					w.SetCut(from, to, mode)
+					w.After(span("for", 20), func() { w.SetCut(from, to, None) })
+				}
+			}
+		}
+	case "slow-links": // all messages are under way for longer
+		return func() {
+			w.SlowLinks = span("by", 0.3)
+			w.After(span("for", 20), func() { w.SlowLinks = 0 })
+		}
 	case "isolate": // one machine from all controllers
 		return func() {
 			mode := Drop
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -43,6 +43,9 @@
 		"at 3 cancel req-000009":   "nobody submitted req-000009",
 		"at 3 resubmit req-000009": "nobody submitted req-000009",
 		"at 3 hang of=req-000009":  "no machine runs req-000009",
+		"at 3 mute of=req-000009":  "no machine runs req-000009",
+		"at 3 zone-cut a node-9":   "no node node-9",
+		"late-writes share=most":   "share=most: not a number",
 		"submit req-000001 choir":  "kind or priority of req-000001",
 		"run long":                 "run: long",
 	} {
@@ -189,6 +192,53 @@
 	}
 }
 
+// TestLeftWaiting shows that a job that could be placed and is not is found after 90 s, and
+// only then, and not while its machine, its zone or its team's limit has no room for it.
+func TestLeftWaiting(t *testing.T) {
+	typ := &wire.MachineType{Name: "t", CPUs: 4, MemoryGB: 8}
+	for name, c := range map[string]struct {
+		job   wire.Job
+		limit float64
+		sick  bool
+		left  bool
+	}{
+		"array":             {job: wire.Job{Kind: wire.KindArray, Tasks: 9, CPUs: 4}, left: true},
+		"gang":              {job: wire.Job{Kind: wire.KindGang, Tasks: 4, CPUs: 2}, left: true},
+		"gang of five":      {job: wire.Job{Kind: wire.KindGang, Tasks: 5, CPUs: 2}},
+		"gang in one zone":  {job: wire.Job{Kind: wire.KindGang, Tasks: 4, CPUs: 2, OneZone: true}},
+		"gang spread":       {job: wire.Job{Kind: wire.KindGang, Tasks: 2, CPUs: 2, Spread: true}, left: true},
+		"too large":         {job: wire.Job{Kind: wire.KindArray, Tasks: 1, CPUs: 5}},
+		"zone":              {job: wire.Job{Kind: wire.KindArray, Tasks: 1, CPUs: 1, Zone: "c"}},
+		"type":              {job: wire.Job{Kind: wire.KindArray, Tasks: 1, CPUs: 1, Types: []string{"u"}}},
+		"limit":             {job: wire.Job{Kind: wire.KindArray, Tasks: 1, CPUs: 2}, limit: 1},
+		"under the limit":   {job: wire.Job{Kind: wire.KindArray, Tasks: 8, CPUs: 1}, limit: 1, left: true},
+		"on sick machines":  {job: wire.Job{Kind: wire.KindArray, Tasks: 1, CPUs: 1}, sick: true},
+		"spread too widely": {job: wire.Job{Kind: wire.KindGang, Tasks: 4, CPUs: 4, Spread: true}},
+	} {
+		w := NewWorld(1, []string{"a", "b"}, 7)
+		for _, zone := range []string{"a", "b"} {
+			x := newWorker(w, "m-"+zone, typ, zone, false)
+			x.up, x.Sick = true, c.sick
+			w.Cloud.Machines[x.id] = x
+		}
+		job := c.job
+		job.ID, job.Team = "req-000001", "core"
+		w.Rules.Limits["core"] = c.limit
+		w.Rules.Known(&job)
+		w.Rules.jobs[job.ID].accepted = true
+		w.Rules.Trouble(50 * sec)
+		for w.now = 5 * sec; w.now <= 145*sec; w.now += 5 * sec {
+			w.judgeWaiting()
+			if w.now == 140*sec && len(w.Rules.Broken) > 0 {
+				t.Errorf("%s: found too soon: %v", name, w.Rules.Broken)
+			}
+		}
+		if got := len(w.Rules.Broken) > 0; got != c.left {
+			t.Errorf("%s: left waiting %v, not %v", name, got, c.left)
+		}
+	}
+}
+
 // TestBeginNeeded plays the overload with large jobs without the time by which a job should
 // have begun: the largest of each class are then still waiting after four minutes.
 func TestBeginNeeded(t *testing.T) {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -76,8 +76,8 @@
 	Strict bool
 	// The next order is executed this much later, with no answer.
 	LateOrder Micros
-	// Reports are under way for this much longer.
-	SlowReports Micros
+	// Reports, or all messages, are under way for this much longer.
+	SlowReports, SlowLinks Micros
 	// Users come back when told, from 1 s on; impatient ones after this time.
 	Impatient Micros
 	Looked    int      // answers to those who look closely
@@ -223,7 +223,11 @@
 	case Hold:
 		w.held[k] = append(w.held[k], deliver)
 	default:
-		w.After(ms+Micros(w.rng.IntN(int(ms))), deliver)
+		after := ms + Micros(w.rng.IntN(int(ms)))
+		if w.SlowLinks > 0 {
+			after += w.SlowLinks/4 + Micros(w.rng.Int64N(int64(w.SlowLinks)))
+		}
+		w.After(after, deliver)
 	}
 }
 
@@ -389,14 +393,17 @@
 }
 
 // Submit has a user submit a job and follow it until it is over.
-func (w *World) Submit(job *wire.Job) {
+func (w *World) Submit(job *wire.Job) { w.Follow(job).submit() }
+
+// Follow gives the user of a job.
+func (w *World) Follow(job *wire.Job) *User {
 	u := w.Users[job.ID]
 	if u == nil {
 		u = &User{w: w, job: job, first: w.now}
 		w.Users[job.ID] = u
 		w.Rules.Known(job)
 	}
-	u.submit()
+	return u
 }
 
 func (u *User) ask(f func(c *controller.Core, reply func(controller.Answer)), judge func(facts, controller.Answer)) {
@@ -465,9 +472,9 @@
 	}
 	again := w.Nodes[l.rng.IntN(len(w.Nodes))]
 	ask(Micros(l.rng.Int64N(int64(500*ms))), again, func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) })
-	if over && l.rng.Float64() < l.cancels {
+	if over && l.rng.Float64() < l.cancels { // the leader learns of the end within a report's interval
 		n := w.Nodes[l.rng.IntN(len(w.Nodes))]
-		ask(Micros(l.rng.Int64N(int64(50*ms))), n, func(c *controller.Core, reply func(controller.Answer)) {
+		ask(Micros(l.rng.Int64N(int64(w.Config.Params.Workers.Report*1.5e6))), n, func(c *controller.Core, reply func(controller.Answer)) {
 			w.Rules.AskedCancel(id)
 			c.Cancel(id, reply)
 		})
@@ -483,8 +490,13 @@
 }
 
 func (u *User) submit() {
+	u.submitAs(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) })
+}
+
+// submitAs submits the job in whatever form until there is an answer to it.
+func (u *User) submitAs(form func(c *controller.Core, reply func(controller.Answer))) {
 	asked := u.w.now
-	u.ask(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) },
+	u.ask(form,
 		func(f facts, a controller.Answer) {
 			u.code = a.Code
 			u.w.Rules.Submitted(u.job.ID, f, a)
@@ -509,7 +521,7 @@
 						u.w.KnownRefused++
 					}
 				}
-				u.w.After(wait, u.submit)
+				u.w.After(wait, func() { u.submitAs(form) })
 			}
 		})
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -233,6 +233,19 @@
 	return j, nil
 }
 
+// SubmittedID is the job's id in the body of a submission that may be malformed otherwise;
+// empty if there is none that is valid.
+func SubmittedID(body []byte) string {
+	var m map[string]any
+	if Decode(body, &m) != nil {
+		return ""
+	}
+	if id, _ := m["uid"].(string); ValidID(id) {
+		return id
+	}
+	return ""
+}
+
 // Priorities, lowest first.
 const (
 	PriorityLow = iota
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -85,6 +85,9 @@
 	f.Add(encode(f, awaits))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		j, err := DecodeJob(body)
+		if id := SubmittedID(body); err == nil && id != j.ID || id != "" && !ValidID(id) {
+			t.Fatalf("submitted as %q, decoded as %+v", id, j)
+		}
 		if err != nil {
 			return
 		}
