The bound on renewals is built once for a machine, from the lease that the settings convert

No change of behaviour: Core.renewal converted lease_s that Config.WorkerLease has already, and holdsCancelled built the bound anew for each place. All tests as before.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -225,8 +225,7 @@
 
 // renewal is the bound on what this node may renew.
 func (c *Core) renewal() lead.Renewal {
-	w := c.cfg.Params.Workers
-	return lead.Renewal{Lease: clock.FromSeconds(w.Lease), Cancel: clock.FromSeconds(w.Cancel), Margin: c.margin()}
+	return lead.Renewal{Lease: c.cfg.WorkerLease(), Cancel: clock.FromSeconds(c.cfg.Params.Workers.Cancel), Margin: c.margin()}
 }
 
 // keeping reports whether this node may renew worker leases.
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -127,8 +127,9 @@
 // scenario meet_order_held_past_cancel, where a cut between leader and machine lasts longer
 // than cancel_s, the machine's reports are forwarded, and it is not empty.
 func (c *Core) holdsCancelled(m *sched.Machine, now Micros) bool {
+	bound := c.renewal()
 	for _, p := range m.Places {
-		if p.Direct && p.Job != nil && p.Job.Cancelled && p.Job.Over > 0 && c.renewal().Outlives(now, p.Job.Over) {
+		if p.Direct && p.Job != nil && p.Job.Cancelled && p.Job.Over > 0 && bound.Outlives(now, p.Job.Over) {
 			return true
 		}
 	}
