Work leaves room that is booked for large jobs for 75 s at most

A gang that books all machines, some of which are held by long tasks, kept smaller work that would end after its turn from the free ones for as long as it waited itself: 400 s in meet_booked_room, red before.

Now a job that yields keeps account of since when, and after 75 s takes the room; in between it may find none for 10 s. The largest still begin within their four minutes in overload_largest and TestLargeJobsBegin.

--- a/internal/sched/booking.go
+++ b/internal/sched/booking.go
@@ -43,6 +43,12 @@
 	// frees between two passes, and little enough to be cheap.
 	mostBooked = 128
 	mostOfJob  = 64
+	// yieldFor is how long a job leaves room that it could use to those before it: none is to
+	// wait 90 s while a machine has room, and a booked one may be due only when hours of work
+	// elsewhere have ended (scenario meet_booked_room).
+	yieldFor = 75 * clock.Second
+	// yieldPause is how long it may find no such room in between.
+	yieldPause = 10 * clock.Second
 	// mostOfArray is what an array books at once: its tasks need not begin together.
 	mostOfArray = 4
 )
@@ -270,8 +276,21 @@
 }
 
 // barred reports whether a task of j, placed on a machine now, would take room that is
-// kept for a job before it.
+// kept for a job before it, and j is to leave it that.
 func (p *pass) barred(j *Job, i int, delay float64) bool {
+	if !p.keptFrom(j, i, delay) {
+		return false
+	}
+	if p.Now-j.yielded > yieldPause {
+		j.yields = p.Now
+	}
+	j.yielded = p.Now
+	return p.Now-j.yields < yieldFor
+}
+
+// keptFrom reports whether the room that a task of j would take, placed on a machine now, is kept
+// for a job before it.
+func (p *pass) keptFrom(j *Job, i int, delay float64) bool {
 	if p.booked == 0 || len(p.keeps[i]) == 0 || j.Priority == wire.PriorityProduction {
 		return false
 	}
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -71,9 +71,10 @@
 	boot  Micros  // what the quickest machine that it may use takes to come
 	large bool    // a task takes more than half of each machine
 
-	booked bool  // machines keep room for it, see booking
-	at     []int // which
-	rank   int   // in the pass under way
+	booked          bool   // machines keep room for it, see booking
+	at              []int  // which
+	yields, yielded Micros // since when it leaves room to such jobs, and when it did last
+	rank            int    // in the pass under way
 }
 
 // Task is one task of a job.
