Rentals and returns are intended before the calls: no machine is known to nobody

Cause: what a leader rented or returned was in its memory only. In the simulator a return carried out late took along tasks that the successor had placed (13 in duty_fifty_takeovers, 2 in meet_return_held_over_takeover), and a successor rented 47 machines where 34 were wanted (duty_rental_over_takeover).

From format level 4 on the leader commits an intent ahead of each such call, under its fence. Its successor sends open rentals again under their names, and finishes returns; nothing is placed on a machine that is intended to be returned, and a return stays known until the list can't name it any more. A rental that is refused after it was sent once without an answer stays open.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -121,6 +121,8 @@
 	cloudPause  Micros
 	releasing   bool
 	toRelease   []string
+	returning   []returning // intended, and not yet known to be carried out
+	returns     uint64
 	arrivals    map[string]*arrival
 	planSet     bool
 	planned     Micros
@@ -407,7 +409,7 @@
 	c.attempts, c.bids = 0, 0
 	c.ordered = map[string]fleet.Rental{}
 	c.refused = map[fleet.Kind]Micros{}
-	c.toRelease, c.releasing = nil, false
+	c.toRelease, c.returning, c.returns, c.releasing = nil, nil, 0, false
 	c.arrivals = map[string]*arrival{}
 	c.unplaced = nil
 	c.ordering, c.toOrder = 0, nil
--- /dev/null
+++ b/internal/controller/intents.go
@@ -0,0 +1,130 @@
+package controller
+
+import (
+	"log/slog"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lilacthread/internal/fleet"
+	"lilacthread/wire"
+)
+
+// From LevelIntents on, what is rented and returned is written ahead of the call, as launches
+// are: an intent, i/NAME, is committed by the leader before the cloud hears of it, and is
+// deleted behind the record of what came of it. A new leader finds the open ones.
+//
+//   - A rental of its predecessor is sent again under its old name, which rents nothing twice
+//     and tells what was rented: no machine is known to nobody until the list names it.
+//   - A return is sent again, and until then nothing is placed on its machines: a call that is
+//     carried out late takes no work along.
+//
+// See docs/duties.md.
+const intentPrefix = "i/"
+
+// intentRecord is a rental or a return that may be on its way.
+type intentRecord struct {
+	Rent     *wire.RentRequest `msgpack:"rent,omitempty"`
+	Machines []string          `msgpack:"m,omitempty"`    // to return
+	Done     bool              `msgpack:"done,omitempty"` // they are gone, but perhaps listed yet
+	At       int64             `msgpack:"at"`             // time of day, microseconds
+}
+
+// returning is machines that are returned by one call.
+type returning struct {
+	name string
+	ids  []string
+}
+
+// intend commits an intent, and then acts.
+func (c *Core) intend(name string, rec intentRecord, act func()) {
+	if c.up.level < LevelIntents {
+		act()
+		return
+	}
+	rec.At = c.wall(c.env.Now())
+	c.commit.put(intentPrefix+name, func() []byte { return wire.Encode(&rec) }, c.during(act))
+}
+
+// settled deletes an intent whose outcome is known; what came of it is queued before.
+func (c *Core) settled(name string) {
+	if c.up.level >= LevelIntents {
+		c.commit.put(intentPrefix+name, func() []byte { return nil }, nil)
+	}
+}
+
+// returned notes that the machines of an intent are gone. The intent stays as long as the
+// cloud's list may name them: a new leader would take them for machines of its own.
+func (c *Core) returned(r returning) {
+	for _, id := range r.ids {
+		c.gone(id)
+	}
+	if c.up.level < LevelIntents {
+		return
+	}
+	rec := intentRecord{Machines: r.ids, Done: true, At: c.wall(c.env.Now())}
+	c.commit.put(intentPrefix+r.name, func() []byte { return wire.Encode(&rec) }, nil)
+	c.settleUnlisted(r.name)
+}
+
+// settleUnlisted deletes an intent once the list is surely newer than what came of it.
+func (c *Core) settleUnlisted(name string) {
+	c.env.After(c.listLag(), c.during(func() { c.settled(name) }))
+}
+
+// mostReturned is how many machines one call returns.
+const mostReturned = 100
+
+// nextReturn takes the next machines to return off the queue, as many as a call and an
+// intent's record take.
+func (c *Core) nextReturn() returning {
+	n := min(len(c.toRelease), mostReturned)
+	limit := c.limits().ValueBytes() - 64
+	for n > 1 && wire.JSONSize(wire.Encode(c.toRelease[:n])) > limit {
+		n /= 2
+	}
+	c.returns++
+	r := returning{"x-" + strconv.FormatUint(c.term, 10) + "-" + strconv.FormatUint(c.returns, 10), c.toRelease[:n:n]}
+	c.toRelease = c.toRelease[n:]
+	return r
+}
+
+// resumeIntents takes up what earlier leaders had begun.
+func (c *Core) resumeIntents(items []wire.Item) {
+	for i := range items {
+		var rec intentRecord
+		name := strings.TrimPrefix(items[i].Key, intentPrefix)
+		if err := msgpack.Unmarshal(items[i].Value, &rec); err != nil {
+			slog.Error("intent cannot be read", "intent", name, "err", err)
+			continue
+		}
+		switch {
+		case rec.Done:
+			for _, id := range rec.Machines {
+				c.released[id] = true
+			}
+			c.settleUnlisted(name)
+		case len(rec.Machines) > 0:
+			slog.Info("return taken up", "intent", name, "machines", len(rec.Machines))
+			for _, id := range rec.Machines {
+				if m := c.machines[id]; m != nil {
+					m.Releasing = true
+				} else {
+					c.released[id] = true
+				}
+			}
+			c.returning = append(c.returning, returning{name, rec.Machines})
+		case rec.Rent != nil:
+			slog.Info("rental taken up", "intent", name, "machines", rec.Rent.Count)
+			c.ordered[name] = fleet.Rental{Kind: kindOf(rec.Rent), Count: rec.Rent.Count}
+			c.rent(rec.Rent, c.steady(rec.At), true)
+		default:
+			c.settled(name)
+		}
+	}
+}
+
+func kindOf(r *wire.RentRequest) fleet.Kind {
+	return fleet.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+}
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -28,8 +28,10 @@
 	LevelTasks = 2
 	// LevelGroups keeps machines that came together in one record.
 	LevelGroups = 3
+	// LevelIntents writes rentals and returns ahead of the calls.
+	LevelIntents = 4
 	// Highest is what this version speaks.
-	Highest = LevelGroups
+	Highest = LevelIntents
 )
 
 // Keys of the upgrade, which version 0.1 neither reads nor writes.
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -323,13 +323,25 @@
 // release returns machines, one call at a time.
 func (c *Core) release() {
 	now := c.env.Now()
-	if c.releasing || len(c.toRelease) == 0 || now < c.cloudPause || !c.calls.AllowN(stdTime(now), 1) {
+	if c.releasing || len(c.returning)+len(c.toRelease) == 0 || now < c.cloudPause || !c.calls.AllowN(stdTime(now), 1) {
 		return
 	}
 	c.releasing = true
-	batch := slices.Clone(c.toRelease[:min(len(c.toRelease), 100)])
-	term := c.term
-	c.env.Cloud().Release(batch, func(o store.Outcome) {
+	if len(c.returning) > 0 {
+		c.callRelease()
+		return
+	}
+	r := c.nextReturn()
+	c.intend(r.name, intentRecord{Machines: r.ids}, func() {
+		c.returning = append(c.returning, r)
+		c.callRelease()
+	})
+}
+
+// callRelease returns the machines of the first intent.
+func (c *Core) callRelease() {
+	r, term := c.returning[0], c.term
+	c.env.Cloud().Release(r.ids, func(o store.Outcome) {
 		if !c.lead.Leading() || c.term != term {
 			return
 		}
@@ -338,10 +350,8 @@
 			c.cloudPause = c.env.Now() + clock.Second
 			return
 		}
-		c.toRelease = c.toRelease[len(batch):]
-		for _, id := range batch {
-			c.gone(id)
-		}
+		c.returning = c.returning[1:]
+		c.returned(r)
 		c.sortMachines()
 		c.wake()
 	})
@@ -474,15 +484,26 @@
 		c.bids++
 		bid := "r-" + strconv.FormatUint(c.term, 10) + "-" + strconv.FormatUint(c.bids, 10)
 		c.ordered[bid] = fleet.Rental{Kind: b.Kind, Count: b.Count}
-		c.rent(&wire.RentRequest{Request: bid, Type: b.Kind.Type, Zone: b.Kind.Zone, Spot: b.Kind.Spot, Count: b.Count}, now)
+		r := &wire.RentRequest{Request: bid, Type: b.Kind.Type, Zone: b.Kind.Zone, Spot: b.Kind.Spot, Count: b.Count}
+		c.intend(bid, intentRecord{Rent: r}, func() { c.rent(r, now, false) })
 	}
 }
 
 // rent sends a rental. Without an answer the same name is sent again: it rents
-// nothing twice.
-func (c *Core) rent(r *wire.RentRequest, since Micros) {
-	term := c.term
-	kind := fleet.Kind{Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+// nothing twice. sent tells that it may have been carried out before.
+func (c *Core) rent(r *wire.RentRequest, since Micros, sent bool) {
+	term, kind := c.term, kindOf(r)
+	again := func() {
+		c.env.After(clock.Second, func() {
+			if c.lead.Leading() && c.term == term {
+				c.rent(r, since, true)
+			}
+		})
+	}
+	if sent && !c.calls.AllowN(stdTime(c.env.Now()), 1) {
+		again()
+		return
+	}
 	c.env.Cloud().Rent(r, func(o store.Outcome, ids []string) {
 		if !c.lead.Leading() || c.term != term {
 			return
@@ -504,21 +525,20 @@
 			if len(ids) < r.Count {
 				c.refused[kind] = now + c.pol.Refused
 			}
-			delete(c.ordered, r.Request)
 		case store.Failed:
 			c.refused[kind] = now + c.pol.Refused
-			delete(c.ordered, r.Request)
 		case store.Refused:
 			c.cloudPause = now + clock.Second
-			delete(c.ordered, r.Request)
+			if sent {
+				again()
+				return
+			}
 		default:
-			c.env.After(clock.Second, func() {
-				if c.lead.Leading() && c.term == term {
-					c.rent(r, since)
-				}
-			})
+			again()
 			return
 		}
+		delete(c.ordered, r.Request)
+		c.settled(r.Request)
 		c.wake()
 	})
 }
@@ -570,15 +590,19 @@
 			again(0, l.Machines[len(l.Machines)-1].ID)
 			return
 		}
-		lag := 2*clock.FromSeconds(c.cfg.Params.Cloud.ListLag) + 2*clock.Second
 		for _, m := range c.order {
-			m.Unlisted = !named[m.ID] && began-m.Known > lag
+			m.Unlisted = !named[m.ID] && began-m.Known > c.listLag()
 		}
 		c.logFleet()
 		again(5*clock.Second, "")
 	})
 }
 
+// listLag is how old the cloud's list may be, and a little more.
+func (c *Core) listLag() Micros {
+	return 2*clock.FromSeconds(c.cfg.Params.Cloud.ListLag) + 2*clock.Second
+}
+
 // logFleet says at debug level how well the fleet is used, in CPUs.
 func (c *Core) logFleet() {
 	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -259,7 +259,7 @@
 func (c *Core) load(term uint64) {
 	still := func() bool { return c.lead.Leading() && c.term == term }
 	progress := map[string]*progressRecord{}
-	var groups, machines, tasks []wire.Item
+	var groups, machines, tasks, intents []wire.Item
 	var since uint64
 	finish := func() {
 		for id, p := range progress {
@@ -284,6 +284,7 @@
 			c.requeue(j)
 		}
 		c.sortMachines()
+		c.resumeIntents(intents)
 		c.loaded = true
 		slog.Info("loaded", "term", term, "jobs", len(c.jobs), "machines", len(c.machines), "level", c.up.level)
 		if c.up.level >= LevelTasks {
@@ -315,14 +316,17 @@
 					machines = items
 					read(groupPrefix, func(items []wire.Item, _ uint64) {
 						groups = items
-						c.env.State().Get(learntKey, func(o store.Outcome, it *wire.Item) {
-							if !still() {
-								return
-							}
-							if o == store.OK {
-								c.restoreLearnt(it.Value)
-							}
-							c.withCatalog(still, finish)
+						read(intentPrefix, func(items []wire.Item, _ uint64) {
+							intents = items
+							c.env.State().Get(learntKey, func(o store.Outcome, it *wire.Item) {
+								if !still() {
+									return
+								}
+								if o == store.OK {
+									c.restoreLearnt(it.Value)
+								}
+								c.withCatalog(still, finish)
+							})
 						})
 					})
 				})
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -9,21 +9,24 @@
 
 // Cloud is the stand-in of the cloud; it also keeps the machines' workers.
 type Cloud struct {
-	w          *World
-	Types      []wire.MachineType
-	Capacity   map[string]int // by type/zone/kind; missing: unlimited
-	Machines   map[string]*Worker
-	bids       map[string][]string
-	count      int
-	Outage     bool
-	NoBoot     int    // so many of the next machines never come up
-	LateRent   Micros // the next rental is executed this much later, with no answer
-	LateReturn Micros // the next return is executed this much later, with no answer
-	Boot       Micros // boot time; 0: the type's
+	w           *World
+	Types       []wire.MachineType
+	Capacity    map[string]int // by type/zone/kind; missing: unlimited
+	Machines    map[string]*Worker
+	bids        map[string][]string
+	bidOf       map[string]string // of the machines rented under LevelIntents
+	LateReturns int               // that were carried out
+	StaleLost   int               // tasks that a return took along whose caller leads no more
+	count       int
+	Outage      bool
+	NoBoot      int    // so many of the next machines never come up
+	LateRent    Micros // the next rental is executed this much later, with no answer
+	LateReturn  Micros // the next return is executed this much later, with no answer
+	Boot        Micros // boot time; 0: the type's
 }
 
 func newCloud(w *World) *Cloud {
-	return &Cloud{w: w, Capacity: map[string]int{}, Machines: map[string]*Worker{}, bids: map[string][]string{}}
+	return &Cloud{w: w, Capacity: map[string]int{}, Machines: map[string]*Worker{}, bids: map[string][]string{}, bidOf: map[string]string{}}
 }
 
 func kindKey(typ, zone string, spot bool) string {
@@ -65,6 +68,9 @@
 		x := newWorker(c.w, fmt.Sprintf("m-%06d", c.count), t, r.Zone, r.Spot)
 		c.Machines[x.id] = x
 		ids = append(ids, x.id)
+		if c.w.State.intents() {
+			c.bidOf[x.id] = r.Request
+		}
 		if c.NoBoot > 0 {
 			c.NoBoot--
 			continue
@@ -137,21 +143,49 @@
 	}, func() { done(store.Refused, nil) }, func() { done(store.Unknown, nil) })
 }
 
+// checkAccounted holds the controllers to an invariant of their own: a machine that they
+// rented stands in a record, or in the intent under which it was rented.
+func (c *Cloud) checkAccounted() {
+	for _, id := range sortedKeys(c.bidOf) {
+		if s := c.w.State; c.Machines[id] == nil || s.items["m/"+id] != nil || s.grouped[id] != "" {
+			delete(c.bidOf, id) // found, or returned, is known from then on
+		} else if s.items["i/"+c.bidOf[id]] == nil {
+			c.w.Rules.broke("unaccounted", "%s", id)
+			delete(c.bidOf, id)
+		}
+	}
+}
+
 func (c *cloudClient) Release(ids []string, done func(store.Outcome)) {
+	s, w := c.cloud().w.State, c.e.n.w
+	for _, id := range ids {
+		if s.intents() && !s.toReturn(id) {
+			w.Rules.broke("unintended", "%s is returned", id)
+		}
+	}
+	remove := func() {
+		for _, id := range ids {
+			if x := w.Cloud.Machines[id]; x != nil && (s.leader() != c.e.n.name || c.e.n.life != c.e.life) {
+				for _, t := range x.tasks {
+					if j := w.Rules.jobs[t.job.ID]; t.state != wire.TaskExited && j.final == "" && !j.askCancel {
+						w.Cloud.StaleLost++
+					}
+				}
+			}
+			w.Cloud.remove(id)
+		}
+	}
 	if d := c.cloud().LateReturn; d > 0 {
 		c.cloud().LateReturn = 0
-		c.e.n.w.After(d, func() {
-			for _, id := range ids {
-				c.cloud().remove(id)
-			}
+		w.After(d, func() {
+			w.Cloud.LateReturns++
+			remove()
 		})
 		c.e.After(5*sec, func() { done(store.Unknown) })
 		return
 	}
 	c.call(func() func() {
-		for _, id := range ids {
-			c.cloud().remove(id)
-		}
+		remove()
 		return func() { done(store.OK) }
 	}, func() { done(store.Refused) }, func() { done(store.Unknown) })
 }
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -119,6 +119,7 @@
 	var sweep func()
 	sweep = func() {
 		s.w.Rules.Sweep(s.w.now)
+		s.w.Cloud.checkAccounted()
 		if s.w.now%(5*sec) == 0 {
 			s.w.judgeWaiting()
 		}
@@ -902,6 +903,32 @@
 				return fmt.Errorf("t=%v: %d starts", w.now.Seconds(), w.Rules.started)
 			}
 			return nil
+		case "stale-lost": // tasks that a return took along whose caller leads no more
+			if n := w.Cloud.StaleLost; n > int(a.num("max", 0)) {
+				return fmt.Errorf("t=%v: %d tasks went with stale returns", w.now.Seconds(), n)
+			}
+			return nil
+		case "late-returns": // that were carried out
+			if w.Cloud.LateReturns < int(a.num("min", 1)) {
+				return fmt.Errorf("t=%v: %d late returns", w.now.Seconds(), w.Cloud.LateReturns)
+			}
+			return nil
+		case "rented": // machines, on the whole day
+			if n := w.Cloud.count; n > int(a.num("max", 1e9)) || n < int(a.num("min", 0)) {
+				return fmt.Errorf("t=%v: %d machines were rented", w.now.Seconds(), n)
+			}
+			return nil
+		case "intents": // that stand
+			n := 0
+			for key := range w.State.items {
+				if strings.HasPrefix(key, "i/") {
+					n++
+				}
+			}
+			if n > int(a.num("max", 0)) {
+				return fmt.Errorf("t=%v: %d intents stand", w.now.Seconds(), n)
+			}
+			return nil
 		case "refused-txns":
 			if w.State.Refused > int(a.num("max", 0)) || w.State.Refused < int(a.num("min", 0)) {
 				return fmt.Errorf("t=%v: %d transactions refused", w.now.Seconds(), w.State.Refused)
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"lilacthread/internal/controller"
 	"lilacthread/internal/lead"
 	"lilacthread/internal/store"
 	"lilacthread/wire"
@@ -205,6 +206,28 @@
 	}
 }
 
+// intents reports whether rentals and returns are written ahead: the level in force is 4.
+func (s *State) intents() bool {
+	var rec struct {
+		Level int `msgpack:"level"`
+	}
+	it := s.items["fmt/level"]
+	return it != nil && msgpack.Unmarshal(it.Value, &rec) == nil && rec.Level >= controller.LevelIntents
+}
+
+// toReturn reports whether an intent to return a machine stands.
+func (s *State) toReturn(id string) bool {
+	for key, it := range s.items {
+		var rec struct {
+			Machines []string `msgpack:"m"`
+		}
+		if strings.HasPrefix(key, "i/") && msgpack.Unmarshal(it.Value, &rec) == nil && slices.Contains(rec.Machines, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // phase is the final state that the service holds of a job, or "".
 func (s *State) phase(id string) string {
 	for _, key := range []string{"j/" + id + "/s", "f/" + id} {
