--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -128,6 +128,7 @@
 	sweep()
 	s.w.Run(s.until)
 	s.w.Rules.Finish()
+	s.w.State.judgeKeys()
 	if len(s.w.Rules.Broken) > 0 {
 		return fmt.Errorf("rules broken: %s", strings.Join(s.w.Rules.Broken, "; "))
 	}
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -228,6 +229,23 @@
 	return false
 }
 
+// judgeKeys holds the controllers to leaving nothing behind that no record explains: what lies
+// beside a job goes with it, a record of machines names some.
+func (s *State) judgeKeys() {
+	for _, key := range sortedKeys(s.items) {
+		kind, rest, _ := strings.Cut(key, "/")
+		id, _, beside := strings.Cut(rest, "/")
+		switch {
+		case kind == "j" && beside, kind == "t":
+			if s.items["j/"+id] == nil {
+				s.w.Rules.broke("left_behind", "%s", key)
+			}
+		case kind == "g" && !slices.Contains(slices.Collect(maps.Values(s.grouped)), key):
+			s.w.Rules.broke("left_behind", "%s", key)
+		}
+	}
+}
+
 // phase is the final state that the service holds of a job, or "".
 func (s *State) phase(id string) string {
 	for _, key := range []string{"j/" + id + "/s", "f/" + id} {
