A submission is decoded once unless it is malformed; EndSent says what was sent

Read once more: SubmittedID decoded every submission a second time; it does so only for those that are refused now. Job.Sent read like Placement.Sent. No change of behaviour, tests as before.

--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -159,7 +159,7 @@
 			return []wire.Change{{Delete: key}}, true
 		}
 		rec := c.progressOf(j)
-		j.Sent = j.Sent || rec.Phase != ""
+		j.EndSent = j.EndSent || rec.Phase != ""
 		return []wire.Change{{Put: key, Value: wire.Encode(rec)}}, true
 	}, done)
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -49,7 +49,7 @@
 
 	Cancelled bool   // decided, perhaps not yet committed
 	Shown     string // the final phase once committed
-	Sent      bool   // the final phase was sent to the state service, which may hold it
+	EndSent   bool   // the final phase was sent to the state service, which may hold it
 	Ended     bool   // cancelled, or all tasks done
 
 	HoldUntil Micros          // failed on several machines: not placed before
@@ -86,7 +86,7 @@
 
 // InDoubt reports whether the state service may hold the job's end though that is not known:
 // the transaction is under way, or got no answer. Others may have read it there and told it.
-func (j *Job) InDoubt() bool { return j.Sent && j.Shown == "" }
+func (j *Job) InDoubt() bool { return j.EndSent && j.Shown == "" }
 
 // Active reports whether the job still wants to run.
 func (j *Job) Active() bool { return !j.Cancelled && !j.Ended }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -195,18 +195,16 @@
 		return
 	}
 	job, err := wire.DecodeJob(body)
-	id := wire.SubmittedID(body)
-	if err != nil && id == "" {
-		problem(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	a, ok := wait(s, r, 4*time.Second, func(c *controller.Core, reply func(controller.Answer)) {
-		if err != nil {
-			c.Malformed(id, err.Error(), reply)
-		} else {
-			c.Submit(job, reply)
+	ask := func(c *controller.Core, reply func(controller.Answer)) { c.Submit(job, reply) }
+	if err != nil {
+		id := wire.SubmittedID(body)
+		if id == "" {
+			problem(w, http.StatusBadRequest, err.Error())
+			return
 		}
-	})
+		ask = func(c *controller.Core, reply func(controller.Answer)) { c.Malformed(id, err.Error(), reply) }
+	}
+	a, ok := wait(s, r, 4*time.Second, ask)
 	answer(w, a, ok)
 }
 
