--- a/internal/sim/real_test.go
+++ b/internal/sim/real_test.go
@@ -114,7 +114,7 @@
 		d.live.Do(func(w *World) {
 			ids := sortedKeys(w.Cloud.Machines)
 			if turn == 1 {
-				w.copies = &copying{0.7, 7 * sec, rand.New(rand.NewPCG(5, 5))}
+				w.copies = &copying{share: 0.7, by: 7 * sec, rng: rand.New(rand.NewPCG(5, 5))}
 			}
 			if len(ids) == 0 {
 				return
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -555,7 +555,7 @@
 		}
 	case "copies": // of reports come again, at any node, or at all nodes once there is a new leader
 		return func() {
-			c := &copying{a.num("share", 0.5), span("by", 20), rand.New(rand.NewPCG(uint64(w.now), 4)), a.has("for-next"), nil}
+			c := &copying{share: a.num("share", 0.5), by: span("by", 20), rng: rand.New(rand.NewPCG(uint64(w.now), 4)), forNext: a.has("for-next")}
 			w.copies = c
 			w.After(span("for", 60), func() {
 				if w.copies == c {
