Intents hold over the rise of the level, and of what is refused and may come late

Now every call goes through intend, which acts at once where the intent stands, and a rental that was refused after it had been sent without an answer stays known for ten minutes, without being sent again. The checker goes by the level that the sender uses.

Scenarios duty_rental_refused_late and chaos_upgrade, each red with its guard out.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -121,7 +121,8 @@
 	cloudPause  Micros
 	releasing   bool
 	toRelease   []string
-	returning   []returning // intended, and not yet known to be carried out
+	returning   []returning // to be intended, and not yet known to be carried out
+	intended    map[string]bool
 	returns     uint64
 	arrivals    map[string]*arrival
 	planSet     bool
@@ -410,6 +411,7 @@
 	c.ordered = map[string]fleet.Rental{}
 	c.refused = map[fleet.Kind]Micros{}
 	c.toRelease, c.returning, c.returns, c.releasing = nil, nil, 0, false
+	c.intended = map[string]bool{}
 	c.arrivals = map[string]*arrival{}
 	c.unplaced = nil
 	c.ordering, c.toOrder = 0, nil
--- a/internal/controller/intents.go
+++ b/internal/controller/intents.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"lilacthread/internal/clock"
 	"lilacthread/internal/fleet"
 	"lilacthread/wire"
 )
@@ -27,7 +28,7 @@
 type intentRecord struct {
 	Rent     *wire.RentRequest `msgpack:"rent,omitempty"`
 	Machines []string          `msgpack:"m,omitempty"`    // to return
-	Done     bool              `msgpack:"done,omitempty"` // they are gone, but perhaps listed yet
+	Done     bool              `msgpack:"done,omitempty"` // gone, but perhaps listed yet; refused, but perhaps rented yet
 	At       int64             `msgpack:"at"`             // time of day, microseconds
 }
 
@@ -37,18 +38,22 @@
 	ids  []string
 }
 
-// intend commits an intent, and then acts.
+// intend acts once the intent is committed, at once where it is.
 func (c *Core) intend(name string, rec intentRecord, act func()) {
-	if c.up.level < LevelIntents {
+	if c.up.level < LevelIntents || c.intended[name] {
 		act()
 		return
 	}
 	rec.At = c.wall(c.env.Now())
-	c.commit.put(intentPrefix+name, func() []byte { return wire.Encode(&rec) }, c.during(act))
+	c.commit.put(intentPrefix+name, func() []byte { return wire.Encode(&rec) }, c.during(func() {
+		c.intended[name] = true
+		act()
+	}))
 }
 
 // settled deletes an intent whose outcome is known; what came of it is queued before.
 func (c *Core) settled(name string) {
+	delete(c.intended, name)
 	if c.up.level >= LevelIntents {
 		c.commit.put(intentPrefix+name, func() []byte { return nil }, nil)
 	}
@@ -73,6 +78,26 @@
 	c.env.After(c.listLag(), c.during(func() { c.settled(name) }))
 }
 
+// lateFor is how long a request to the cloud may be on its way.
+const lateFor = 600 * clock.Second
+
+// refusedLate notes that the cloud has no room for a rental that was sent before without an
+// answer: that may yet be carried out, once there is room. It is not sent again, and stays
+// known for as long as that.
+func (c *Core) refusedLate(r *wire.RentRequest, at Micros) {
+	if c.up.level < LevelIntents {
+		return
+	}
+	rec := intentRecord{Rent: r, Done: true, At: c.wall(at)}
+	c.commit.put(intentPrefix+r.Request, func() []byte { return wire.Encode(&rec) }, nil)
+	c.settleLate(r.Request, at)
+}
+
+// settleLate deletes the intent of a rental that can't come true any more.
+func (c *Core) settleLate(name string, at Micros) {
+	c.env.After(max(at+lateFor-c.env.Now(), 0), c.during(func() { c.settled(name) }))
+}
+
 // mostReturned is how many machines one call returns.
 const mostReturned = 100
 
@@ -99,7 +124,10 @@
 			slog.Error("intent cannot be read", "intent", name, "err", err)
 			continue
 		}
+		c.intended[name] = true
 		switch {
+		case rec.Done && rec.Rent != nil:
+			c.settleLate(name, c.steady(rec.At))
 		case rec.Done:
 			for _, id := range rec.Machines {
 				c.released[id] = true
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -54,6 +54,9 @@
 	told    bool           // the state service has this node's announcement
 }
 
+// Level is the format level in force, as far as this node knows.
+func (c *Core) Level() int { return c.up.level }
+
 // limits are those of the state service in force: the present ones until the
 // upgrade is over, from then on the smaller of the present and the next.
 func (c *Core) limits() config.State {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -327,20 +327,16 @@
 		return
 	}
 	c.releasing = true
-	if len(c.returning) > 0 {
-		c.callRelease()
-		return
+	if len(c.returning) == 0 {
+		c.returning = append(c.returning, c.nextReturn())
 	}
-	r := c.nextReturn()
-	c.intend(r.name, intentRecord{Machines: r.ids}, func() {
-		c.returning = append(c.returning, r)
-		c.callRelease()
-	})
+	r := c.returning[0]
+	c.intend(r.name, intentRecord{Machines: r.ids}, func() { c.callRelease(r) })
 }
 
-// callRelease returns the machines of the first intent.
-func (c *Core) callRelease() {
-	r, term := c.returning[0], c.term
+// callRelease returns the machines of an intent.
+func (c *Core) callRelease(r returning) {
+	term := c.term
 	c.env.Cloud().Release(r.ids, func(o store.Outcome) {
 		if !c.lead.Leading() || c.term != term {
 			return
@@ -495,8 +491,8 @@
 	term, kind := c.term, kindOf(r)
 	again := func() {
 		c.env.After(clock.Second, func() {
-			if c.lead.Leading() && c.term == term {
-				c.rent(r, since, true)
+			if c.lead.Leading() && c.term == term { // perhaps the level has risen since
+				c.intend(r.Request, intentRecord{Rent: r}, func() { c.rent(r, since, true) })
 			}
 		})
 	}
@@ -527,6 +523,12 @@
 			}
 		case store.Failed:
 			c.refused[kind] = now + c.pol.Refused
+			if sent {
+				delete(c.ordered, r.Request)
+				c.refusedLate(r, now)
+				c.wake()
+				return
+			}
 		case store.Refused:
 			c.cloudPause = now + clock.Second
 			if sent {
