--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -31,6 +31,27 @@
 	}
 }
 
+// TestChaosLookedAt plays the random days once more while users look closely. The days
+// themselves stay as they are, since each found something by its very course.
+func TestChaosLookedAt(t *testing.T) {
+	files, err := filepath.Glob("testdata/chaos_*.txt")
+	if err != nil || len(files) < 10 {
+		t.Fatalf("days: %d found, %v", len(files), err)
+	}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(text), "close-looks") {
+			continue
+		}
+		if err := Play("close-looks cancels=0.2\nexpect looks min=100\n" + string(text)); err != nil {
+			t.Errorf("%s: %v", f, err)
+		}
+	}
+}
+
 // TestBadLines shows that a mistake in a scenario fails it and names the line, whether it is
 // found as the line is read or as it is done.
 func TestBadLines(t *testing.T) {
