--- a/internal/controller/intents.go
+++ b/internal/controller/intents.go
@@ -65,39 +65,29 @@
 	for _, id := range r.ids {
 		c.gone(id)
 	}
-	if c.up.level < LevelIntents {
-		return
-	}
-	rec := intentRecord{Machines: r.ids, Done: true, At: c.wall(c.env.Now())}
-	c.commit.put(intentPrefix+r.name, func() []byte { return wire.Encode(&rec) }, nil)
-	c.settleUnlisted(r.name)
-}
-
-// settleUnlisted deletes an intent once the list is surely newer than what came of it.
-func (c *Core) settleUnlisted(name string) {
-	c.env.After(c.listLag(), c.during(func() { c.settled(name) }))
+	c.linger(r.name, intentRecord{Machines: r.ids}, c.listLag())
 }
 
-// lateFor is how long a request to the cloud may be on its way.
-const lateFor = 600 * clock.Second
-
-// refusedLate notes that the cloud has no room for a rental that was sent before without an
-// answer: that may yet be carried out, once there is room. It is not sent again, and stays
-// known for as long as that.
-func (c *Core) refusedLate(r *wire.RentRequest, at Micros) {
+// linger keeps an intent that is done for a while.
+func (c *Core) linger(name string, rec intentRecord, span Micros) {
 	if c.up.level < LevelIntents {
 		return
 	}
-	rec := intentRecord{Rent: r, Done: true, At: c.wall(at)}
-	c.commit.put(intentPrefix+r.Request, func() []byte { return wire.Encode(&rec) }, nil)
-	c.settleLate(r.Request, at)
+	rec.Done, rec.At = true, c.wall(c.env.Now())
+	c.commit.put(intentPrefix+name, func() []byte { return wire.Encode(&rec) }, nil)
+	c.settleAfter(name, span)
 }
 
-// settleLate deletes the intent of a rental that can't come true any more.
-func (c *Core) settleLate(name string, at Micros) {
-	c.env.After(max(at+lateFor-c.env.Now(), 0), c.during(func() { c.settled(name) }))
+// settleAfter deletes an intent later.
+func (c *Core) settleAfter(name string, span Micros) {
+	c.env.After(span, c.during(func() { c.settled(name) }))
 }
 
+// lateFor is how long a request to the cloud may be on its way. A rental for which the cloud
+// has no room, but that was sent before without an answer, may yet be carried out once there
+// is room: it is not sent again, and stays known for as long as that.
+const lateFor = 600 * clock.Second
+
 // mostReturned is how many machines one call returns.
 const mostReturned = 100
 
@@ -127,12 +117,12 @@
 		c.intended[name] = true
 		switch {
 		case rec.Done && rec.Rent != nil:
-			c.settleLate(name, c.steady(rec.At))
+			c.settleAfter(name, max(c.steady(rec.At)+lateFor-c.env.Now(), 0))
 		case rec.Done:
 			for _, id := range rec.Machines {
 				c.released[id] = true
 			}
-			c.settleUnlisted(name)
+			c.settleAfter(name, c.listLag())
 		case len(rec.Machines) > 0:
 			slog.Info("return taken up", "intent", name, "machines", len(rec.Machines))
 			for _, id := range rec.Machines {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -525,7 +525,7 @@
 			c.refused[kind] = now + c.pol.Refused
 			if sent {
 				delete(c.ordered, r.Request)
-				c.refusedLate(r, now)
+				c.linger(r.Request, intentRecord{Rent: r}, lateFor)
 				c.wake()
 				return
 			}
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -63,6 +63,14 @@
 	return x
 }
 
+// mode is how a link is to be cut.
+func (a args) mode() Cut {
+	if a.has("hold") {
+		return Hold
+	}
+	return Drop
+}
+
 func (a args) has(flag string) bool { return slices.Contains(a.words, flag) }
 
 // Play runs a scenario and returns what went wrong.
@@ -249,9 +257,8 @@
 		job := s.job(a)
 		return func() {
 			if a.has("malformed") { // a field is missing
-				w.Follow(job).submitAs(func(c *controller.Core, reply func(controller.Answer)) {
-					c.Malformed(job.ID, "a field is missing", reply)
-				})
+				u := w.Follow(job)
+				u.submitAs(u.malformed)
 				return
 			}
 			w.Submit(job)
@@ -315,20 +322,17 @@
 				if u == nil {
 					panic("resubmit: nobody submitted " + a.word(0))
 				}
-				switch other := *u.job; {
-				case a.has("other"), a.has("less"):
-					if other.CPUs = 1e6; a.has("less") {
-						other = *u.job
-						other.Tasks = 1
-					}
-					u.submitAs(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(&other, reply) })
+				other := *u.job
+				switch {
 				case a.has("malformed"):
-					u.submitAs(func(c *controller.Core, reply func(controller.Answer)) {
-						c.Malformed(other.ID, "a field is missing", reply)
-					})
-				default:
-					u.submit()
+					u.submitAs(u.malformed)
+					continue
+				case a.has("other"):
+					other.CPUs = 1e6
+				case a.has("less"):
+					other.Tasks = 1
 				}
+				u.submitAs(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(&other, reply) })
 			}
 		}
 	case "poll": // at a node, ready or not, or where the load balancer chooses
@@ -422,10 +426,7 @@
 		}
 	case "cut":
 		return func() {
-			mode := Drop
-			if a.has("hold") {
-				mode = Hold
-			}
+			mode := a.mode()
 			var to []string
 			for _, word := range a.words[1:] {
 				if word != "hold" && word != "drop" {
@@ -435,18 +436,14 @@
 			for _, from := range s.hosts(a.word(0)) {
 				for _, t := range to {
 					if t != from {
-						w.SetCut(from, t, mode)
-						w.After(span("for", 20), func() { w.SetCut(from, t, None) })
+						w.cutFor(from, t, mode, span("for", 20))
 					}
 				}
 			}
 		}
 	case "zone-cut": // a zone's machines, and a controller in it, from all that is elsewhere
 		return func() {
-			mode := Drop
-			if a.has("hold") {
-				mode = Hold
-			}
+			mode := a.mode()
 			inside, outside := []string{s.node(a.word(1)).name}, []string{"state", "cloud", "users"}
 			for _, id := range sortedKeys(w.Cloud.Machines) {
 				if w.Cloud.Machines[id].zone == a.word(0) {
@@ -462,8 +459,7 @@
 			}
 			for _, from := range inside {
 				for _, to := range outside {
-					w.SetCut(from, to, mode)
-					w.After(span("for", 20), func() { w.SetCut(from, to, None) })
+					w.cutFor(from, to, mode, span("for", 20))
 				}
 			}
 		}
@@ -474,14 +470,10 @@
 		}
 	case "isolate": // one machine from all controllers
 		return func() {
-			mode := Drop
-			if a.has("hold") {
-				mode = Hold
-			}
+			mode := a.mode()
 			x := s.worker(a)
 			for _, n := range w.Nodes {
-				w.SetCut(x.id, n.name, mode)
-				w.After(span("for", 20), func() { w.SetCut(x.id, n.name, None) })
+				w.cutFor(x.id, n.name, mode, span("for", 20))
 			}
 		}
 	case "apart": // a node and a share of the machines can't reach each other
@@ -489,8 +481,7 @@
 			n := s.node(a.word(0)).name
 			ids := sortedKeys(w.Cloud.Machines)
 			for _, id := range ids[:int(a.num("share", 0.5)*float64(len(ids)))] {
-				w.SetCut(n, id, Hold)
-				w.After(span("for", 20), func() { w.SetCut(n, id, None) })
+				w.cutFor(n, id, Hold, span("for", 20))
 			}
 		}
 	case "refuse":
@@ -543,15 +534,11 @@
 		}
 	case "deaf": // what is sent to a machine does not reach it; what it sends arrives
 		return func() {
-			id := s.worker(a).id
-			w.deaf[id] = true
-			w.After(span("for", 20), func() { delete(w.deaf, id) })
+			w.markFor(w.deaf, s.worker(a).id, span("for", 20))
 		}
 	case "mute": // a machine reaches no controller, while orders reach it
 		return func() {
-			id := s.worker(a).id
-			w.mute[id] = true
-			w.After(span("for", 20), func() { delete(w.mute, id) })
+			w.markFor(w.mute, s.worker(a).id, span("for", 20))
 		}
 	case "copies": // of reports come again, at any node, or at all nodes once there is a new leader
 		return func() {
@@ -592,11 +579,9 @@
 				case "cut":
 					s.verb("isolate", args{words: []string{"", "hold"}, pairs: map[string]string{"machine": id, "for": a.pairs["for"]}})()
 				case "deaf":
-					w.deaf[id] = true
-					w.After(span("for", 10), func() { delete(w.deaf, id) })
+					w.markFor(w.deaf, id, span("for", 10))
 				case "mute":
-					w.mute[id] = true
-					w.After(span("for", 10), func() { delete(w.mute, id) })
+					w.markFor(w.mute, id, span("for", 10))
 				case "reborn":
 					x.Reborn()
 				case "sick":
--- a/internal/sim/waiting.go
+++ b/internal/sim/waiting.go
@@ -24,12 +24,8 @@
 	}
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
-		need := func(id string) bool {
-			n := c.jobs[id]
-			return n != nil && n.doneAt > 0
-		}
 		waits := j.accepted && j.final == "" && j.doneAt == 0 && !c.mayCancel(j) &&
-			!slices.ContainsFunc(j.job.Awaits, func(id string) bool { return !need(id) })
+			!slices.ContainsFunc(j.job.Awaits, func(id string) bool { return c.jobs[id] == nil || c.jobs[id].doneAt == 0 })
 		if !waits || !w.hasRoom(j, held[id], used[j.job.Team]) {
 			j.roomSince = 0
 			continue
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -154,6 +154,18 @@
 	}
 }
 
+// cutFor interrupts the link between two hosts for a while.
+func (w *World) cutFor(a, b string, c Cut, span Micros) {
+	w.SetCut(a, b, c)
+	w.After(span, func() { w.SetCut(a, b, None) })
+}
+
+// markFor enters a host into a set for a while.
+func (w *World) markFor(set map[string]bool, host string, span Micros) {
+	set[host] = true
+	w.After(span, func() { delete(set, host) })
+}
+
 // copying has a share of the machines' reports arrive once more, later, at any node, or
 // at all nodes once there is a new leader.
 type copying struct {
@@ -406,7 +418,7 @@
 	return u
 }
 
-func (u *User) ask(f func(c *controller.Core, reply func(controller.Answer)), judge func(facts, controller.Answer)) {
+func (u *User) ask(f request, judge func(facts, controller.Answer)) {
 	w := u.w
 	known := w.Rules.Asking(u.job.ID)
 	done := func(a controller.Answer) { judge(known, a) }
@@ -423,8 +435,11 @@
 	w.askAt(up[w.rng.IntN(len(up))], f, done)
 }
 
+// request is what a user asks of a node.
+type request = func(c *controller.Core, reply func(controller.Answer))
+
 // askAt has a user ask a node.
-func (w *World) askAt(n *Node, f func(c *controller.Core, reply func(controller.Answer)), done func(controller.Answer)) {
+func (w *World) askAt(n *Node, f request, done func(controller.Answer)) {
 	w.call("users", n.name, 5*sec, func(respond func(func())) {
 		if !n.Up() {
 			return
@@ -447,19 +462,14 @@
 	if l == nil || u == nil {
 		return
 	}
-	ask := func(after Micros, n *Node, f func(c *controller.Core, reply func(controller.Answer))) {
+	ask := func(after Micros, n *Node, f request, judge func(string, facts, controller.Answer)) {
 		w.After(after, func() {
 			bound := w.Rules.binding(id)
 			w.askAt(n, f, func(a controller.Answer) {
 				w.Looked++
-				switch a.Code {
-				case 200, 201:
-					w.Rules.Polled(id, bound, a)
+				judge(id, bound, a)
+				if a.Code == 200 || a.Code == 201 {
 					u.told(a.Status.Phase)
-				case 400, 422:
-					w.Rules.Submitted(id, bound, a)
-				case 404:
-					w.Rules.Polled(id, bound, a)
 				}
 			})
 		})
@@ -467,17 +477,17 @@
 	status := func(c *controller.Core, reply func(controller.Answer)) { c.Status(id, reply) }
 	for _, n := range w.Nodes {
 		for _, within := range []Micros{5 * ms, 100 * ms, 2 * sec} {
-			ask(Micros(l.rng.Int64N(int64(within))), n, status)
+			ask(Micros(l.rng.Int64N(int64(within))), n, status, w.Rules.Polled)
 		}
 	}
 	again := w.Nodes[l.rng.IntN(len(w.Nodes))]
-	ask(Micros(l.rng.Int64N(int64(500*ms))), again, func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) })
+	ask(Micros(l.rng.Int64N(int64(500*ms))), again, u.submission, w.Rules.Submitted)
 	if over && l.rng.Float64() < l.cancels { // the leader learns of the end within a report's interval
 		n := w.Nodes[l.rng.IntN(len(w.Nodes))]
 		ask(Micros(l.rng.Int64N(int64(w.Config.Params.Workers.Report*1.5e6))), n, func(c *controller.Core, reply func(controller.Answer)) {
 			w.Rules.AskedCancel(id)
 			c.Cancel(id, reply)
-		})
+		}, w.Rules.Polled)
 	}
 }
 
@@ -489,12 +499,17 @@
 	}
 }
 
-func (u *User) submit() {
-	u.submitAs(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) })
+func (u *User) submit() { u.submitAs(u.submission) }
+
+// submission is the job as its user submits it, malformed the same without a field.
+func (u *User) submission(c *controller.Core, reply func(controller.Answer)) { c.Submit(u.job, reply) }
+
+func (u *User) malformed(c *controller.Core, reply func(controller.Answer)) {
+	c.Malformed(u.job.ID, "a field is missing", reply)
 }
 
 // submitAs submits the job in whatever form until there is an answer to it.
-func (u *User) submitAs(form func(c *controller.Core, reply func(controller.Answer))) {
+func (u *User) submitAs(form request) {
 	asked := u.w.now
 	u.ask(form,
 		func(f facts, a controller.Answer) {
