--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,69 +73,13 @@
 type buyer struct {
 	*Input
 	bins   []*bin
-	frees  []free // by time; worked out when first asked for
-	known  bool
-	head   int // what lies before is used up
+	ends   *lookahead // worked out when first asked for
 	bought map[Kind]int
-	looked int     // bins and frees looked at: the cost of it all
+	looked int     // bins looked at: see cost
 	supply float64 // CPUs for batch work, up or on their way
-	left   float64 // CPUs of the demand not looked at yet
-}
-
-// free is room that a task's end will free.
-type free struct {
-	at   sched.Micros
-	cpus float64
-	kind Kind
-	typ  *wire.MachineType
-}
-
-func compareFree(x, y free) int { return cmp.Or(cmp.Compare(x.at, y.at), x.kind.compare(y.kind)) }
-
-// release enters room that gets free at the given time.
-func (b *buyer) release(f free) {
-	b.free()
-	i, found := slices.BinarySearchFunc(b.frees, f, compareFree)
-	if found {
-		b.frees[i].cpus += f.cpus
-	} else {
-		b.frees = slices.Insert(b.frees, i, f)
-	}
-	b.head = min(b.head, i)
-}
-
-// free works out what running tasks will free.
-func (b *buyer) free() {
-	if b.known {
-		return
-	}
-	b.known = true
-	for _, m := range b.Machines {
-		if m.Releasing || m.Draining || m.Notice != 0 || m.Errors > 0 {
-			continue
-		}
-		kind := kindOf(m)
-		for _, p := range m.Places {
-			if p.Job == nil || p.Job.Service() || p.Exited {
-				continue
-			}
-			start := p.Running
-			if start == 0 {
-				start = b.Now
-			}
-			b.frees = append(b.frees, free{max(b.Now, start+p.Left()), p.Need.On(m.Type), kind, m.Type})
-		}
-	}
-	slices.SortFunc(b.frees, compareFree)
-	merged := b.frees[:0]
-	for _, f := range b.frees {
-		if n := len(merged); n > 0 && compareFree(merged[n-1], f) == 0 {
-			merged[n-1].cpus += f.cpus
-		} else {
-			merged = append(merged, f)
-		}
-	}
-	b.frees = merged
+	// Batch work that waits no longer than this is never rented for: see worth.
+	shortest sched.Micros
+	left     float64 // CPUs of the demand not looked at yet
 }
 
 // Plan decides what to rent now. Demand first goes to machines on their way,
@@ -144,7 +88,10 @@
 func Plan(in *Input) []Buy { return newBuyer(in).plan() }
 
 func newBuyer(in *Input) *buyer {
-	b := &buyer{Input: in, bought: map[Kind]int{}}
+	b := &buyer{Input: in, bought: map[Kind]int{}, shortest: clock.Forever}
+	for i := range in.Catalog {
+		b.shortest = min(b.shortest, clock.FromSeconds(in.Catalog[i].Boot)/2)
+	}
 	for _, m := range in.Machines {
 		if !m.Up && !m.Releasing && !m.Failed && !in.missing(m) {
 			b.bins = append(b.bins, &bin{kindOf(m), m.Type, m.Room(),
@@ -172,7 +119,7 @@
 	for _, u := range b.Unplaced {
 		b.left += float64(u.Count) * u.Job.Size()
 	}
-	for _, u := range b.Unplaced {
+	for _, u := range b.Unplaced[:b.relevant()] {
 		b.demand(u)
 	}
 	b.headroom()
@@ -208,36 +155,96 @@
 	return nil
 }
 
+// lookahead is what running tasks will free.
+func (b *buyer) lookahead() *lookahead {
+	if b.ends == nil {
+		b.ends = newLookahead(b.Input)
+	}
+	return b.ends
+}
+
+// cost is the work of all this: how many bins and releases were looked at.
+func (b *buyer) cost() int {
+	if b.ends == nil {
+		return b.looked
+	}
+	return b.looked + b.ends.looked
+}
+
+// relevant is how many of the unplaced jobs can change what is rented: all up to the
+// last one for which anything may be rented now, or which takes room that services
+// could have had. While the cloud refuses every kind that the batch work may use,
+// nothing is to be looked ahead for.
+func (b *buyer) relevant() int {
+	n := len(b.Unplaced)
+	for n > 0 && !b.matters(b.Unplaced[n-1].Job) {
+		n--
+	}
+	return n
+}
+
+func (b *buyer) matters(j *sched.Job) bool {
+	if j.Priority == wire.PriorityProduction {
+		return true
+	}
+	for i := range b.Catalog {
+		t := &b.Catalog[i]
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				if b.Now >= b.Refused[Kind{t.Name, zone, spot}] && j.Allows(t, zone, spot) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // demand finds room for the unplaced tasks of one job.
 func (b *buyer) demand(u sched.Unplaced) {
 	j, need := u.Job, u.Job.Need()
 	held := j.Zones(nil)
-	next := 0 // a bin that has no room for one task of a job has none for the others
+	next := 0                  // a bin that has no room for one task of a job has none for the others
+	var queues []*releaseQueue // that a task of the job may wait for
+	if j.Array() {
+		queues = b.lookahead().allowed(j)
+	}
 	for range u.Count {
 		b.left -= j.Size()
-		if b.fromBins(j, need, held, &next) {
+		if x := b.fromBins(j, need, held, &next); x != nil {
+			if b.willFree(x, j) {
+				queues = b.lookahead().allowed(j)
+			}
 			continue
 		}
-		wait := clock.Forever
+		room := claim{at: clock.Forever}
 		if j.Array() {
-			wait = b.nextFree(j, need) - b.Now
+			room = b.lookahead().earliest(queues, need)
+		}
+		kind, ok := Kind{}, false
+		if wait := room.at - b.Now; !j.Array() || wait > b.shortest {
+			kind, ok = b.pick(j, need, held, wait)
 		}
-		kind, ok := b.pick(j, need, held, wait)
 		switch {
 		case ok:
+			room.putBack()
 			b.bought[kind]++
 			b.supply += b.typ(kind.Type).CPUs
 			b.bins = append(b.bins, b.newBin(kind, b.typ(kind.Type)))
-			b.fromBins(j, need, held, &next)
-		case wait < clock.Forever/2:
-			b.consume(j, need)
+			if x := b.fromBins(j, need, held, &next); x != nil && b.willFree(x, j) {
+				queues = b.lookahead().allowed(j)
+			}
+		case room.at < clock.Forever:
+			room.consume(need, j.Estimate)
 		default:
+			room.putBack()
 			return
 		}
 	}
 }
 
-func (b *buyer) fromBins(j *sched.Job, need sched.Need, held map[string]int, next *int) bool {
+// fromBins gives a task of j room on a machine on its way; nil if there is none.
+func (b *buyer) fromBins(j *sched.Job, need sched.Need, held map[string]int, next *int) *bin {
 	for ; *next < len(b.bins); *next++ {
 		x := b.bins[*next]
 		b.looked++
@@ -249,51 +256,21 @@
 			if held != nil {
 				held[x.kind.Zone]++
 			}
-			if j.Array() {
-				b.release(free{x.at + j.Estimate, need.On(x.typ), x.kind, x.typ})
-			}
-			return true
-		}
-	}
-	return false
-}
-
-// nextFree finds when tasks that run, or will run, have freed enough for one
-// more task of j.
-func (b *buyer) nextFree(j *sched.Job, need sched.Need) sched.Micros {
-	b.free()
-	part := 1.0 // of the task that has no room yet
-	for b.head < len(b.frees) && b.frees[b.head].cpus <= 0 {
-		b.head++
-	}
-	for _, f := range b.frees[b.head:] {
-		b.looked++
-		if f.cpus > 0 && j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
-			if part -= f.cpus / need.On(f.typ); part <= 1e-6 {
-				return f.at
-			}
+			return x
 		}
 	}
-	return clock.Forever
+	return nil
 }
 
-// consume gives the next free room to a task of j, until that ends.
-func (b *buyer) consume(j *sched.Job, need sched.Need) {
-	part := 1.0
-	for i := b.head; i < len(b.frees); i++ {
-		f := &b.frees[i]
-		b.looked++
-		if f.cpus <= 0 || !j.Allows(f.typ, f.kind.Zone, f.kind.Spot) {
-			continue
-		}
-		size := need.On(f.typ)
-		take := min(part*size, f.cpus)
-		f.cpus -= take
-		if part -= take / size; part <= 1e-6 {
-			b.release(free{f.at + j.Estimate, size, f.kind, f.typ})
-			return
-		}
+// willFree enters the end of a task that was given room on a machine on its way. It
+// reports whether that is room of a kind that was not known.
+func (b *buyer) willFree(x *bin, j *sched.Job) bool {
+	if !j.Array() {
+		return false
 	}
+	known := len(b.lookahead().queues)
+	b.lookahead().add(x.kind, x.typ, release{x.at + j.Estimate, j.Need().On(x.typ)})
+	return len(b.lookahead().queues) > known
 }
 
 // pick chooses a machine to rent for j's next task, if one is worth it: the
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -67,8 +67,8 @@
 	in = bigInput(500)
 	b = newBuyer(in)
 	b.plan()
-	if limit := 10 * 100 * 50; b.looked > limit {
-		t.Errorf("looked at %d bins and frees, limit %d", b.looked, limit)
+	if limit := 10 * 100 * 50; b.cost() > limit {
+		t.Errorf("looked at %d bins and releases, limit %d", b.cost(), limit)
 	}
 }
 
