--- a/client/client.go
+++ b/client/client.go
@@ -47,6 +47,11 @@
 	return do[wire.Admission](c, http.MethodGet, "/admission", nil)
 }
 
+// Relays tells which controllers carry workers' connections.
+func (c *Client) Relays() (*wire.Relays, error) {
+	return do[wire.Relays](c, http.MethodGet, "/relays", nil)
+}
+
 func do[T any](c *Client, method, path string, in any) (*T, error) {
 	give := time.Now().Add(patience)
 	for {
--- a/cmd/lilacthread/main.go
+++ b/cmd/lilacthread/main.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -34,6 +36,7 @@
 	Version versionCmd `cmd:"" help:"Print the version."`
 
 	Admission admissionCmd `cmd:"" help:"Show how submissions and machines are shared."`
+	Relays    relaysCmd    `cmd:"" help:"Show which controllers carry workers' connections."`
 	Bound     boundCmd     `cmd:"" help:"Tell how far from the best a recorded overload day was."`
 }
 
@@ -221,6 +224,37 @@
 	return t.Flush()
 }
 
+type relaysCmd struct {
+	target
+	JSON bool `name:"json" help:"As JSON."`
+}
+
+func (c *relaysCmd) Run() error {
+	r, err := client.New(c.Addr).Relays()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	printRelays(os.Stdout, r)
+	return nil
+}
+
+// printRelays prints who carries whom, and this node's counters.
+func printRelays(w io.Writer, r *wire.Relays) {
+	role := map[bool]string{false: "follows", true: "leads"}[r.Leads]
+	mode := map[bool]string{false: "workers report to the leader", true: "relaying"}[r.InForce]
+	fmt.Fprintf(w, "node %s (%s): %s, members %v (table %d of term %d)\n", r.Node, role, mode, r.Members, r.Number, r.Term)
+	for _, name := range slices.Sorted(maps.Keys(r.Carried)) {
+		fmt.Fprintf(w, "  %s carries %d workers\n", name, r.Carried[name])
+	}
+	fmt.Fprintf(w, "%d workers report here, %d reports wait; relayed %d in %d batches (%d repeated, %d batches unanswered, latest answered in %.1f ms)\n",
+		r.Workers, r.Waiting, r.Relayed, r.Batches, r.Repeated, r.Unanswered, float64(r.DelayMicros)/1000)
+	fmt.Fprintf(w, "workers sent elsewhere %d, reports shed %d, orders sent %d, refused %d, malformed items %d\n",
+		r.Redirected, r.Shed, r.Orders, r.Refused, r.Malformed)
+}
+
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"lilacthread/internal/admit"
+	"lilacthread/internal/carrier"
 	"lilacthread/internal/clock"
 	"lilacthread/internal/config"
 	"lilacthread/internal/fleet"
@@ -49,6 +50,8 @@
 	// was executed because token or session differ, Failed, both with the
 	// worker's report.
 	Order(addr string, o *wire.Orders, done func(store.Outcome, *wire.Report))
+	// Sockets is the share of this node's connections for users and workers in use.
+	Sockets() float64
 	State() store.Service
 	Cloud() Cloud
 }
@@ -61,11 +64,7 @@
 }
 
 // ReportAnswer is the reply to a worker.
-type ReportAnswer struct {
-	Code   int
-	Body   wire.ReportAnswer
-	Leader string // with 421
-}
+type ReportAnswer = carrier.Answer
 
 // Core is one controller.
 type Core struct {
@@ -96,6 +95,7 @@
 	book      *admit.Book
 	purse     *admit.Purse
 	waits     waits
+	relay     *carrier.Relay
 
 	// Of the leader.
 	term        uint64
@@ -138,6 +138,7 @@
 	demands     []admit.Demand // of the latest pass, by account
 	served      *admit.Served
 	dues        []admit.Due // nil while not overloaded
+	router      *carrier.Router
 }
 
 type peerInfo struct {
@@ -146,6 +147,7 @@
 	reports uint32
 	term    uint64
 	names   namesakes
+	sockets float64   // share of its connections in use
 	admits  shareKind // how much of the state service's changes it takes for submissions
 }
 
@@ -184,6 +186,7 @@
 		c.peers[p.Name] = &peerInfo{at: -clock.Forever}
 	}
 	c.stateSeen, c.born = -clock.Forever, env.Now()
+	c.relay = carrier.NewRelay(relayHost{c}, cfg.Name, cfg.WorkerLease(), cfg.Served(), cfg.OrderLimit())
 	c.incarnation = incarnation
 	c.lead = lead.New(env, env.State(), lead.Record{Node: cfg.Name, Incarnation: incarnation, Addr: cfg.OwnAddr()}, pol.LeaderTTL, lead.Hooks{
 		Elected: c.elected,
@@ -296,14 +299,17 @@
 			}
 		})
 	}
+	c.relay.Tidy()
 	notice := c.tendAdmission(now)
 	for name := range c.peers {
 		greeting := c.self(fb.KindHello)
 		greeting.Notice = notice
+		greeting.Sockets = int(c.env.Sockets() * 1000)
 		c.env.Ask(name, greeting, clock.Second, func(m *peer.Msg) {
 			if m != nil {
 				c.learn(m)
 				c.putTable(m.Table, now)
+				c.putRelays(m.Relays)
 			}
 		})
 	}
@@ -339,6 +345,9 @@
 		slog.Error("two processes run under one name", "name", m.Node)
 	}
 	p.at, p.stateOK, p.reports, p.term = c.env.Now(), m.StateOK, m.Reports, m.Term
+	if m.Kind == fb.KindHello {
+		p.sockets = float64(m.Sockets) / 1000
+	}
 	c.hearLevel(m.Node, m.Speaks, m.Level)
 	if c.lead.Leading() && m.Term > c.lead.Term() {
 		c.lead.Yield()
@@ -357,7 +366,7 @@
 	switch m.Kind {
 	case fb.KindHello:
 		r := c.self(fb.KindAnswer)
-		r.Code, r.Table = 200, c.hearNotice(m)
+		r.Code, r.Table, r.Relays = 200, c.hearNotice(m), c.relaysNow()
 		reply(r)
 	case fb.KindStatus:
 		if m.InMemory {
@@ -374,6 +383,14 @@
 		c.cancelHere(m.Job, answer)
 	case fb.KindReport:
 		c.onForwarded(m, reply)
+	case fb.KindReports:
+		c.onRelayed(m, reply)
+	case fb.KindOrders:
+		reply(c.self(fb.KindAnswer))
+		c.relay.OnOrders(m.Node, m.Orders)
+	case fb.KindResults:
+		reply(c.self(fb.KindAnswer))
+		c.onResults(m)
 	case fb.KindSubmit:
 		job, err := wire.DecodeJob(m.Body)
 		if err != nil || !c.stateOK() {
@@ -415,6 +432,7 @@
 	c.unplaced = nil
 	c.ordering, c.toOrder = 0, nil
 	c.up.raising = false
+	c.router = carrier.NewRouter(relayHost{c}, term, c.cfg.OrderLimit())
 	c.electAdmission(now)
 	c.setWriteShare()
 	c.load(term)
@@ -426,7 +444,7 @@
 	c.takeEarly()
 	c.commit.abandon()
 	c.jobs, c.machines, c.order, c.finals = nil, nil, nil, nil
-	c.giver, c.dues = nil, nil
+	c.giver, c.dues, c.router = nil, nil, nil
 	c.setWriteShare()
 }
 
@@ -498,6 +516,7 @@
 	c.tendLevel(now)
 	if c.Serving() {
 		c.tendMachines(now)
+		c.tendRelays(now)
 		c.probePartitions(now)
 		c.probeSilent(now)
 		c.sendOrders()
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -40,8 +40,17 @@
 
 // TakeReport handles a worker's report at whichever node it comes to.
 func (c *Core) TakeReport(r *wire.Report, reply func(ReportAnswer)) {
+	if c.relays() {
+		c.takeCarried(r, reply)
+	} else {
+		c.takeStraight(r, reply)
+	}
+}
+
+// takeStraight handles a report while workers report to the leader.
+func (c *Core) takeStraight(r *wire.Report, reply func(ReportAnswer)) {
 	if c.lead.Leading() && !c.loaded {
-		c.awaitLoad(r, reply)
+		c.awaitLoad(func() { reply(c.OnReport(r)) })
 		return
 	}
 	leader := c.lead.Leader()
--- a/internal/controller/level.go
+++ b/internal/controller/level.go
@@ -30,8 +30,11 @@
 	LevelGroups = 3
 	// LevelIntents writes rentals and returns ahead of the calls.
 	LevelIntents = 4
+	// LevelRelay lets controllers that do not lead relay workers' reports; records are as
+	// before.
+	LevelRelay = 5
 	// Highest is what this version speaks.
-	Highest = LevelIntents
+	Highest = LevelRelay
 )
 
 // Keys of the upgrade, which version 0.1 neither reads nor writes.
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -364,6 +364,7 @@
 		c.leave(p)
 	}
 	delete(c.machines, id)
+	c.router.Direct(id)
 	c.saveMachine(m, nil)
 }
 
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 
+	"lilacthread/internal/carrier"
 	"lilacthread/internal/sched"
 	"lilacthread/internal/store"
 	"lilacthread/wire"
@@ -28,20 +29,31 @@
 
 // mayOrder reports whether an order may be sent to the machine now.
 func (c *Core) mayOrder(m *sched.Machine) bool {
-	return !m.Ordering && c.ordering < c.cfg.OrderLimit() && c.Serving() && c.machines[m.ID] == m && !m.Releasing && m.Addr != ""
+	if m.Ordering || !c.Serving() || c.machines[m.ID] != m || m.Releasing || m.Addr == "" {
+		return false
+	}
+	if via := c.router.Via(m.ID); via != "" {
+		return c.router.MayOrder(via)
+	}
+	return c.ordering < c.cfg.OrderLimit()
 }
 
 // sendTo sends an order, perhaps without commands, to a machine that may have one; done runs
 // if the machine and this term are still there then.
+//
+// It goes through the controller that carries the machine's connection, if one does.
 func (c *Core) sendTo(m *sched.Machine, commands []wire.Command, done func(store.Outcome, *wire.Report)) {
-	c.ordering++
 	m.Ordering = true
 	term := c.term
-	c.env.Order(m.Addr, &wire.Orders{Token: term, Session: m.Session, Commands: commands}, func(o store.Outcome, r *wire.Report) {
+	orders := &wire.Orders{Token: term, Session: m.Session, Commands: commands}
+	via := c.router.Via(m.ID)
+	settled := func(o store.Outcome, r *wire.Report) {
 		if !c.lead.Leading() || c.term != term {
 			return
 		}
-		c.ordering--
+		if via == "" {
+			c.ordering--
+		}
 		m.Ordering = false
 		if o == store.OK || o == store.Failed {
 			m.Lives = c.env.Now()
@@ -49,7 +61,13 @@
 		if c.machines[m.ID] == m {
 			done(o, r)
 		}
-	})
+	}
+	if via != "" {
+		c.router.Order(via, m.Addr, orders, settled)
+		return
+	}
+	c.ordering++
+	c.env.Order(m.Addr, orders, settled)
 }
 
 func (c *Core) sendOrder(m *sched.Machine) {
@@ -63,6 +81,9 @@
 	}
 	if len(start) > 0 {
 		m.Lives = now
+		if c.router.Via(m.ID) != "" {
+			m.Lives += carrier.OrderWithin // another controller may send it so much later
+		}
 	}
 	session := m.Session
 	c.sendTo(m, append(stop, start...), func(o store.Outcome, r *wire.Report) {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -20,15 +20,15 @@
 // worker drops answers later than responseLife.
 const earlyFor = responseLife / 2
 
-// awaitLoad keeps a report until the records are read. Nothing may be renewed before: a
+// awaitLoad keeps reports until the records are read. Nothing may be renewed before: a
 // leader that knows of no cancellation would keep alive what an earlier one has told a user
 // is cancelled (scenario meet_successor_not_loaded).
-func (c *Core) awaitLoad(r *wire.Report, reply func(ReportAnswer)) {
+func (c *Core) awaitLoad(handle func()) {
 	waits := true
 	take := func() {
 		if waits {
 			waits = false
-			reply(c.OnReport(r))
+			handle()
 		}
 	}
 	c.early = append(c.early, take)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	cloud *cloud.HTTP
 	links *peer.Links
 	work  *worker.HTTP
+	serve *server.Server
 }
 
 // Run serves until a listener fails.
@@ -53,6 +54,7 @@
 	n.cloud = cloud.NewHTTP(cfg.Endpoints.Cloud, n.Post)
 	n.links = peer.NewLinks(peers, n.Post)
 	n.work = worker.NewHTTP(n.Post)
+	n.serve = server.New(n, cfg.Served())
 	n.core = controller.New(n, cfg, pol, rand.Uint64())
 	failed := make(chan error, 2)
 	go func() {
@@ -60,7 +62,7 @@
 			n.Post(func() { n.core.OnPeer(m, reply) })
 		})
 	}()
-	go func() { failed <- server.New(n, cfg.Served()).Serve(ln) }()
+	go func() { failed <- n.serve.Serve(ln) }()
 	n.Post(n.core.Start)
 	for {
 		select {
@@ -124,6 +126,9 @@
 	n.work.Order(addr, o, done)
 }
 
+// Sockets is the share of the connections for users and workers that is in use.
+func (n *Node) Sockets() float64 { return n.serve.Share() }
+
 // State is the state service.
 func (n *Node) State() store.Service { return n.state }
 
--- a/internal/peer/msg.go
+++ b/internal/peer/msg.go
@@ -8,6 +8,7 @@
 	flatbuffers "github.com/google/flatbuffers/go"
 
 	"lilacthread/internal/admit"
+	"lilacthread/internal/relay"
 	"lilacthread/wire/fb"
 )
 
@@ -34,6 +35,13 @@
 	InMemory   bool          // with a question for a job: answer from memory or not at all
 
 	Incarnation uint64 // of the sender's process; 0 from versions without it
+
+	Relayed []RelayedReport // of a batch of workers' reports
+	Answers []RelayedAnswer // to one, in its order
+	Orders  []Order         // of a batch of orders to workers
+	Results []OrderResult   // of orders, in any order
+	Relays  *relay.Table    // with a leader's answer to a greeting
+	Sockets int             // with a greeting: thousandths of the sender's connections in use
 }
 
 // MaxFrame bounds a frame.
@@ -50,6 +58,7 @@
 		body = b.CreateByteVector(m.Body)
 	}
 	notice, table := encodeNotice(b, m.Notice), encodeTable(b, m.Table)
+	relayed := m.encodeRelay(b)
 	fb.MessageStart(b)
 	fb.MessageAddId(b, m.ID)
 	fb.MessageAddKind(b, m.Kind)
@@ -72,6 +81,8 @@
 	fb.MessageAddRetryAfter(b, byte(m.RetryAfter))
 	fb.MessageAddInMemory(b, m.InMemory)
 	fb.MessageAddIncarnation(b, m.Incarnation)
+	relayed.add(b)
+	fb.MessageAddSockets(b, uint16(m.Sockets))
 	b.Finish(fb.MessageEnd(b))
 	return b.FinishedBytes()
 }
@@ -93,12 +104,13 @@
 		StateOK: t.StateOk(), Reports: t.Reports(), Job: string(t.Uid()),
 		Code: int(t.Code()), Phase: string(t.Phase()), Done: int(t.Done()), Running: int(t.Running()),
 		Speaks: int(t.Speaks()), Level: int(t.Level()), RetryAfter: int(t.RetryAfter()), InMemory: t.InMemory(), Incarnation: t.Incarnation(),
-		Notice: decodeNotice(t.Notice(nil)), Table: decodeTable(t.Admission(nil)),
+		Notice: decodeNotice(t.Notice(nil)), Table: decodeTable(t.Admission(nil)), Sockets: int(t.Sockets()),
 	}
+	m.decodeRelay(t)
 	if body := t.BodyBytes(); body != nil {
 		m.Body = append([]byte(nil), body...)
 	}
-	if m.Kind > fb.KindReport {
+	if m.Kind > fb.KindResults {
 		return nil, errFrame
 	}
 	return m, nil
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"lilacthread/internal/admit"
+	"lilacthread/internal/relay"
 	"lilacthread/wire/fb"
 )
 
@@ -15,7 +16,12 @@
 		RetryAfter: 9, InMemory: true,
 		Notice: &admit.Notice{Digest: 7, Accounts: []admit.Arrivals{{Rate: 1, Queued: 2, Refused: 3}, {Rate: 4}}, Told: []admit.Told{{Hash: 5, Account: 1, CPUs: 48}, {Hash: 6}}},
 		Table: &admit.Table{Term: 3, Number: 4, Digest: 7, Valid: 3_000_000, Over: true,
-			Accounts: []admit.Entry{{Rate: 1, Part: 2, Slots: 4, Held: 5, Waiting: 6, Floor: 7, Share: 8}, {Rate: 9}}}}
+			Accounts: []admit.Entry{{Rate: 1, Part: 2, Slots: 4, Held: 5, Waiting: 6, Floor: 7, Share: 8}, {Rate: 9}}},
+		Relayed: []RelayedReport{{Body: []byte{1}, Machine: "m-1", Session: 2, Seq: 3, Token: 4}, {Machine: "m-2", Session: 1, Seq: 9, Token: 4, Base: 8}},
+		Answers: []RelayedAnswer{{Code: 200, Token: 4, Body: []byte{5}}, {Code: 503}},
+		Orders:  []Order{{ID: 1, Addr: "10.0.0.1:9", Body: []byte{6}}},
+		Results: []OrderResult{{ID: 1, Outcome: 2, Body: []byte{7}}, {ID: 2}},
+		Relays:  &relay.Table{Term: 3, Number: 2, Members: []string{"a", "b"}}, Sockets: 300}
 }
 
 func TestFrame(t *testing.T) {
@@ -42,7 +48,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(sample().Encode())
 	f.Fuzz(func(t *testing.T, frame []byte) {
-		if m, err := Decode(frame); err == nil && m.Kind > fb.KindReport {
+		if m, err := Decode(frame); err == nil && m.Kind > fb.KindResults {
 			t.Fatal("unknown kind let through")
 		}
 	})
--- /dev/null
+++ b/internal/peer/relay.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"lilacthread/internal/relay"
+	"lilacthread/wire/fb"
+)
+
+// RelayedReport is a worker's report on its way to the leader.
+type RelayedReport struct {
+	Body    []byte // whole, in MessagePack; nil: as the report with number Base, but for the rest
+	Machine string
+	Session uint64
+	Seq     uint64
+	Token   uint64
+	Base    uint64
+}
+
+// Size is about what it takes of a frame.
+func (r *RelayedReport) Size() int { return itemRest + len(r.Machine) + len(r.Body) }
+
+// RelayedAnswer is the leader's answer to one.
+type RelayedAnswer struct {
+	Code  int
+	Token uint64
+	Body  []byte // in MessagePack, with commands; nil: there are none
+}
+
+// Order is an order to a worker that another controller is to send.
+type Order struct {
+	ID   uint64
+	Addr string
+	Body []byte // in MessagePack
+}
+
+// Size is about what it takes of a frame.
+func (o *Order) Size() int { return itemRest + len(o.Addr) + len(o.Body) }
+
+// OrderResult is what became of one.
+type OrderResult struct {
+	ID      uint64
+	Outcome uint8
+	Body    []byte // the worker's report in MessagePack, if there is one
+}
+
+// Size is about what it takes of a frame.
+func (r *OrderResult) Size() int { return itemRest + len(r.Body) }
+
+// itemRest is more than the fixed part of an item takes of a frame.
+const itemRest = 72
+
+// vector writes the tables of a list, and the vector of their offsets.
+func vector[T any](b *flatbuffers.Builder, list []T, table func(*T) flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+	if list == nil {
+		return 0
+	}
+	offsets := make([]flatbuffers.UOffsetT, len(list))
+	for i := range list {
+		offsets[i] = table(&list[i])
+	}
+	b.StartVector(flatbuffers.SizeUOffsetT, len(list), flatbuffers.SizeUOffsetT)
+	for i := len(offsets) - 1; i >= 0; i-- {
+		b.PrependUOffsetT(offsets[i])
+	}
+	return b.EndVector(len(offsets))
+}
+
+func bytesOf(b *flatbuffers.Builder, body []byte) flatbuffers.UOffsetT {
+	if body == nil {
+		return 0
+	}
+	return b.CreateByteVector(body)
+}
+
+// relayOffsets are those of what a message holds for relaying; 0: nothing.
+type relayOffsets struct{ reports, answers, orders, results, relays flatbuffers.UOffsetT }
+
+func (m *Msg) encodeRelay(b *flatbuffers.Builder) relayOffsets {
+	return relayOffsets{
+		vector(b, m.Relayed, func(r *RelayedReport) flatbuffers.UOffsetT {
+			body, machine := bytesOf(b, r.Body), b.CreateString(r.Machine)
+			fb.ReportItemStart(b)
+			fb.ReportItemAddBody(b, body)
+			fb.ReportItemAddMachine(b, machine)
+			fb.ReportItemAddSession(b, r.Session)
+			fb.ReportItemAddSeq(b, r.Seq)
+			fb.ReportItemAddToken(b, r.Token)
+			fb.ReportItemAddBase(b, r.Base)
+			return fb.ReportItemEnd(b)
+		}),
+		vector(b, m.Answers, func(a *RelayedAnswer) flatbuffers.UOffsetT {
+			body := bytesOf(b, a.Body)
+			fb.AnswerItemStart(b)
+			fb.AnswerItemAddCode(b, uint16(a.Code))
+			fb.AnswerItemAddToken(b, a.Token)
+			fb.AnswerItemAddBody(b, body)
+			return fb.AnswerItemEnd(b)
+		}),
+		vector(b, m.Orders, func(o *Order) flatbuffers.UOffsetT {
+			addr, body := b.CreateString(o.Addr), bytesOf(b, o.Body)
+			fb.OrderItemStart(b)
+			fb.OrderItemAddId(b, o.ID)
+			fb.OrderItemAddAddr(b, addr)
+			fb.OrderItemAddBody(b, body)
+			return fb.OrderItemEnd(b)
+		}),
+		vector(b, m.Results, func(r *OrderResult) flatbuffers.UOffsetT {
+			body := bytesOf(b, r.Body)
+			fb.ResultItemStart(b)
+			fb.ResultItemAddId(b, r.ID)
+			fb.ResultItemAddOutcome(b, r.Outcome)
+			fb.ResultItemAddBody(b, body)
+			return fb.ResultItemEnd(b)
+		}),
+		encodeRelays(b, m.Relays),
+	}
+}
+
+func encodeRelays(b *flatbuffers.Builder, t *relay.Table) flatbuffers.UOffsetT {
+	if t == nil {
+		return 0
+	}
+	members := vector(b, t.Members, func(name *string) flatbuffers.UOffsetT { return b.CreateString(*name) })
+	fb.RelaysStart(b)
+	fb.RelaysAddTerm(b, t.Term)
+	fb.RelaysAddNumber(b, t.Number)
+	fb.RelaysAddMembers(b, members)
+	return fb.RelaysEnd(b)
+}
+
+// add enters what is there into the message being built.
+func (o relayOffsets) add(b *flatbuffers.Builder) {
+	fb.MessageAddRelayed(b, o.reports)
+	fb.MessageAddAnswers(b, o.answers)
+	fb.MessageAddOrders(b, o.orders)
+	fb.MessageAddResults(b, o.results)
+	fb.MessageAddRelays(b, o.relays)
+}
+
+func copied(body []byte) []byte {
+	if body == nil {
+		return nil
+	}
+	return append([]byte{}, body...)
+}
+
+// decodeRelay reads what a message holds for relaying.
+func (m *Msg) decodeRelay(t *fb.Message) {
+	var report fb.ReportItem
+	for i := range bounded(t.RelayedLength()) {
+		t.Relayed(&report, i)
+		m.Relayed = append(m.Relayed, RelayedReport{copied(report.BodyBytes()), string(report.Machine()),
+			report.Session(), report.Seq(), report.Token(), report.Base()})
+	}
+	var answer fb.AnswerItem
+	for i := range bounded(t.AnswersLength()) {
+		t.Answers(&answer, i)
+		m.Answers = append(m.Answers, RelayedAnswer{int(answer.Code()), answer.Token(), copied(answer.BodyBytes())})
+	}
+	var order fb.OrderItem
+	for i := range bounded(t.OrdersLength()) {
+		t.Orders(&order, i)
+		m.Orders = append(m.Orders, Order{order.Id(), string(order.Addr()), copied(order.BodyBytes())})
+	}
+	var result fb.ResultItem
+	for i := range bounded(t.ResultsLength()) {
+		t.Results(&result, i)
+		m.Results = append(m.Results, OrderResult{result.Id(), result.Outcome(), copied(result.BodyBytes())})
+	}
+	if r := t.Relays(nil); r != nil {
+		m.Relays = &relay.Table{Term: r.Term(), Number: r.Number()}
+		for i := range bounded(r.MembersLength()) {
+			m.Relays.Members = append(m.Relays.Members, string(r.Members(i)))
+		}
+	}
+}
--- a/internal/policy/default.star
+++ b/internal/policy/default.star
@@ -30,3 +30,7 @@
 class_serve = {}          # of a class: its part instead
 answer_s = 1.0            # a submission that would wait longer is told when to come back
 overload_s = 0.0          # overload begins when waiting work takes this long; 0: by the aims
+
+# Relaying of workers' reports.
+relay = False             # off: all workers report to the leader
+relay_workers = 2500      # from so many workers on, the other controllers carry their connections
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -39,6 +39,13 @@
 	Patience      clock.Micros
 	Begin         clock.Micros
 	Admission     admit.Rules
+	Relay         Relay
+}
+
+// Relay says whether controllers that do not lead carry workers' connections.
+type Relay struct {
+	On      bool
+	Workers int // from so many on
 }
 
 // Default returns the embedded policy.
@@ -106,6 +113,7 @@
 			Answer: r.seconds("answer_s", 0.01, 4),
 			Begins: r.seconds("overload_s", 0, 1e6),
 		},
+		Relay: Relay{On: r.truth("relay"), Workers: int(r.number("relay_workers", 1, 1e6))},
 	}
 	return p, r.err
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -40,6 +40,9 @@
 	return c
 }
 
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // ErrNotSent means that no connection was made, so nothing was executed.
 var ErrNotSent = errors.New("not sent")
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -76,6 +76,9 @@
 // beyond reports whether more than a percentage of the sockets is in use.
 func (s *Server) beyond(percent int64) bool { return s.open.Load() > s.limit*percent/100 }
 
+// Share is the part of the sockets that is in use.
+func (s *Server) Share() float64 { return float64(s.open.Load()) / float64(max(s.limit, 1)) }
+
 // ServeHTTP routes by hand: the paths are few, and job ids need no decoding.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.Path
@@ -96,7 +99,11 @@
 		}
 	case path == "/admission":
 		if method(w, r, http.MethodGet) {
-			s.admission(w, r)
+			tell(s, w, r, (*controller.Core).Admission)
+		}
+	case path == "/relays":
+		if method(w, r, http.MethodGet) {
+			tell(s, w, r, (*controller.Core).Relays)
 		}
 	case path == jobs:
 		if method(w, r, http.MethodPost) {
@@ -180,8 +187,9 @@
 	write(w, http.StatusOK, map[string]string{})
 }
 
-func (s *Server) admission(w http.ResponseWriter, r *http.Request) {
-	a, ok := wait(s, r, 2*time.Second, func(c *controller.Core, reply func(*wire.Admission)) { reply(c.Admission()) })
+// tell answers an operator's question.
+func tell[T any](s *Server, w http.ResponseWriter, r *http.Request, ask func(*controller.Core) *T) {
+	a, ok := wait(s, r, 2*time.Second, func(c *controller.Core, reply func(*T)) { reply(ask(c)) })
 	if !ok {
 		problem(w, http.StatusServiceUnavailable, "busy")
 		return
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -28,6 +28,7 @@
 func (cutOff) Order(_ string, _ *wire.Orders, done func(store.Outcome, *wire.Report)) {
 	done(store.Refused, nil)
 }
+func (cutOff) Sockets() float64        { return 0 }
 func (cutOff) State() store.Service    { return noState{} }
 func (cutOff) Cloud() controller.Cloud { return noCloud{} }
 
--- a/internal/sim/cloud.go
+++ b/internal/sim/cloud.go
@@ -170,7 +170,7 @@
 	}
 	remove := func() {
 		for _, id := range ids {
-			if x := w.Cloud.Machines[id]; x != nil && (s.leader() != c.e.n.name || c.e.n.life != c.e.life) {
+			if x := w.Cloud.Machines[id]; x != nil && (s.Leader() != c.e.n.name || c.e.n.life != c.e.life) {
 				for _, t := range x.tasks {
 					if j := w.Rules.jobs[t.job.ID]; t.state != wire.TaskExited && j.final == "" && !j.askCancel {
 						w.Cloud.StaleLost++
--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -25,18 +25,34 @@
 	w     *World
 	start time.Time
 	nodes map[string]*rpc.Client
+	addrs map[string]string // of the controllers
+	links map[string]*workerLink
 	open  []io.Closer
 	stop  chan struct{}
 	done  sync.WaitGroup
 	fail  error
 	// Addresses of the state service and the cloud.
 	State, Cloud string
+	Traffic      Traffic
+}
+
+// Traffic counts what workers and controllers exchange; bodies only, in bytes.
+type Traffic struct {
+	Reports, Answered, Redirected, Failed uint64
+	ReportBytes, AnswerBytes              uint64
+	Orders, OrderBytes                    uint64
+}
+
+// workerLink is a worker's connection to the controller that it reports to.
+type workerLink struct {
+	node   string
+	client *rpc.Client
 }
 
 // Serve begins to play a world whose controllers take reports at the given addresses,
 // by name. Close ends it.
 func Serve(w *World, nodes map[string]string) (*Live, error) {
-	l := &Live{w: w, start: time.Now(), nodes: map[string]*rpc.Client{}, stop: make(chan struct{})}
+	l := &Live{w: w, start: time.Now(), nodes: map[string]*rpc.Client{}, addrs: nodes, links: map[string]*workerLink{}, stop: make(chan struct{})}
 	w.live, w.Nodes = l, nil
 	for _, name := range sortedKeys(nodes) {
 		w.Nodes = append(w.Nodes, &Node{w: w, name: name})
@@ -119,6 +135,8 @@
 			default:
 				var outcome store.Outcome
 				status = http.StatusOK
+				l.Traffic.Orders++
+				l.Traffic.OrderBytes += uint64(len(wire.Encode(&o)))
 				if outcome, report = x.orders(&o); outcome != store.OK {
 					status = http.StatusConflict
 				}
@@ -135,7 +153,9 @@
 
 // report carries a worker's report to a controller; the world is held.
 func (l *Live) report(node string, rep *wire.Report, answered func(controller.ReportAnswer)) {
-	c := l.nodes[node]
+	c := l.link(rep.Machine, node)
+	l.Traffic.Reports++
+	l.Traffic.ReportBytes += uint64(len(wire.Encode(rep)))
 	go func() {
 		l.copyLater(rep)
 		var a controller.ReportAnswer
@@ -149,10 +169,41 @@
 			time.Sleep(4 * time.Second)
 			a = controller.ReportAnswer{}
 		}
-		l.Do(func(*World) { answered(a) })
+		l.Do(func(*World) {
+			l.Traffic.count(status, len(raw))
+			answered(a)
+		})
 	}()
 }
 
+func (t *Traffic) count(status, bytes int) {
+	switch status {
+	case http.StatusOK:
+		t.Answered++
+	case http.StatusMisdirectedRequest:
+		t.Redirected++
+	default:
+		t.Failed++
+	}
+	t.AnswerBytes += uint64(bytes)
+}
+
+// link is a worker's connection to a controller; the one that it had to another is closed.
+func (l *Live) link(machine, node string) *rpc.Client {
+	link := l.links[machine]
+	if link == nil {
+		link = new(workerLink)
+		l.links[machine] = link
+	}
+	if link.node != node {
+		if link.client != nil {
+			link.client.Close()
+		}
+		link.node, link.client = node, rpc.New(l.addrs[node])
+	}
+	return link.client
+}
+
 // deaf reports whether nothing reaches a machine.
 func (l *Live) deaf(machine string) (deaf bool) {
 	l.Do(func(w *World) { deaf = w.deaf[machine] })
@@ -328,12 +379,19 @@
 	p.State.WriteRPS = 400
 	w.Cloud.Types = []wire.MachineType{{Name: "t", CPUs: 16, MemoryGB: 64, CacheGB: 50, FetchRate: 10, Price: 1,
 		SpotPrice: 0.3, Boot: 0.5, Zones: []string{"a"}}}
-	settings := make([]config.Config, nodes)
+	return Deploy(w)
+}
+
+// Deploy begins to play a world with its controllers, spread over its zones, which are to be
+// started with the settings given.
+func Deploy(w *World) (*Live, []config.Config, error) {
+	zones := w.Config.Params.Zones
+	settings := make([]config.Config, len(w.Nodes))
 	listen := map[string]string{}
 	for i := range settings {
 		c := &settings[i]
 		*c = w.Config
-		c.Name, c.Zone = w.Nodes[i].name, "a"
+		c.Name, c.Zone = w.Nodes[i].name, zones[i%len(zones)]
 		var err1, err2 error
 		c.Listen, err1 = freePort()
 		c.PeerListen, err2 = freePort()
@@ -351,7 +409,7 @@
 		c.Endpoints.State, c.Endpoints.Cloud = l.State, l.Cloud
 		for j, o := range settings {
 			if j != i {
-				c.Peers = append(c.Peers, config.Peer{Name: o.Name, Zone: "a", Addr: o.PeerListen})
+				c.Peers = append(c.Peers, config.Peer{Name: o.Name, Zone: o.Zone, Addr: o.PeerListen})
 			}
 		}
 	}
--- a/internal/sim/real_test.go
+++ b/internal/sim/real_test.go
@@ -151,7 +151,7 @@
 			if turn%16 == 0 { // the leader
 				d.live.Do(func(w *World) {
 					for i := range d.nodes {
-						if d.nodes[i].Name == w.State.leader() {
+						if d.nodes[i].Name == w.State.Leader() {
 							victim = i
 						}
 					}
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -57,6 +57,17 @@
 	c.jobs[job.ID] = &judged{job: job, first: c.Now(), doneTasks: map[int]bool{}, zones: map[string]int{}}
 }
 
+// TasksStarted is how many tasks have begun on machines.
+func (c *Checker) TasksStarted() int { return c.started }
+
+// Waits tells of each job when its user first tried to submit it and when its first task
+// was on a machine, 0 if none was.
+func (c *Checker) Waits(tell func(job *wire.Job, first, began Micros)) {
+	for _, id := range sortedKeys(c.jobs) {
+		tell(c.jobs[id].job, c.jobs[id].first, c.jobs[id].began)
+	}
+}
+
 // Known facts of a job when a request was sent: only these bind its answer,
 // since answers to concurrent requests may overtake one another.
 type facts struct {
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -281,6 +281,16 @@
 			}
 			w.pol = pol
 		}
+	case "relay": // controllers that do not lead carry workers' connections
+		return func() {
+			pol := *w.pol
+			pol.Relay = policy.Relay{On: true, Workers: int(a.num("workers", 1))}
+			w.pol = &pol
+		}
+	case "report-changes": // workers report changes at once
+		return func() { w.ReportChanges = true }
+	case "sockets": // a controller says that so much of its connections is in use
+		return func() { s.node(a.word(0)).sockets = a.num("share", 0.9) }
 	case "objective":
 		return func() {
 			w.Config.Params.Objectives = append(w.Config.Params.Objectives, config.Objective{Kind: a.word(0), Class: a.word(1), Within: a.num("within", 60)})
@@ -869,6 +879,26 @@
 				return fmt.Errorf("t=%v: term %d", w.now.Seconds(), n)
 			}
 			return nil
+		case "relayed": // reports, or with the word orders these
+			n := w.Relayed
+			if a.has("orders") {
+				n = w.RelayedOrders
+			}
+			if n < int(a.num("min", 0)) || n > int(a.num("max", 1e9)) {
+				return fmt.Errorf("t=%v: %d relayed", w.now.Seconds(), n)
+			}
+			return nil
+		case "carried": // workers by a controller, as the leader has it
+			n := w.Leader().core.Relays().Carried[a.word(1)]
+			if n < int(a.num("min", 0)) || n > int(a.num("max", 1e9)) {
+				return fmt.Errorf("t=%v: %s carries %d", w.now.Seconds(), a.word(1), n)
+			}
+			return nil
+		case "leases-lost":
+			if w.LeasesLost > int(a.num("max", 0)) {
+				return fmt.Errorf("t=%v: %d leases lost", w.now.Seconds(), w.LeasesLost)
+			}
+			return nil
 		case "looks": // that were answered
 			if w.Looked < int(a.num("min", 1)) {
 				return fmt.Errorf("t=%v: %d close looks", w.now.Seconds(), w.Looked)
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -107,7 +107,8 @@
 	}
 }
 
-func (s *State) leader() string {
+// Leader is the controller that the service says leads; empty without one.
+func (s *State) Leader() string {
 	var rec lead.Record
 	if it := s.items[lead.Key]; it != nil && msgpack.Unmarshal(it.Value, &rec) == nil {
 		return rec.Node
@@ -288,8 +289,9 @@
 
 func (s *State) since(prefix string, rev uint64) []wire.Event {
 	var out []wire.Event
-	for _, e := range s.log {
-		if e.Version > rev && strings.HasPrefix(e.Put+e.Delete, prefix) {
+	newer := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > rev })
+	for _, e := range s.log[newer:] {
+		if strings.HasPrefix(e.Put, prefix) || strings.HasPrefix(e.Delete, prefix) {
 			out = append(out, e)
 		}
 	}
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -28,6 +28,11 @@
 	images         map[string]bool
 	notice         Micros
 	backlog        []func() // what a hanging machine does when it goes on
+
+	sent    Micros // the latest report
+	waiting bool   // for its answer, or to try another node
+	changed bool   // since the latest report
+	plan    int    // of the next report; a later plan replaces an earlier one
 }
 
 type simTask struct {
@@ -63,6 +68,9 @@
 		// A worker checks its lease even while it hangs: what it would do later
 		// must not outlive the lease.
 		if x.w.now-x.renewed > Micros(x.w.Config.Params.Workers.Lease*1e6) {
+			if len(x.order) > 0 {
+				x.w.LeasesLost++
+			}
 			x.killAll()
 			x.session++
 			x.renewed = x.w.now
@@ -153,7 +161,8 @@
 	every := Micros(w.Config.Params.Workers.Report * 1e6)
 	sent, session, life := w.now, x.session, x.life
 	n := w.Nodes[x.node]
-	next := func(d Micros) { w.After(d, x.report) }
+	x.sent, x.waiting, x.changed = w.now, true, false
+	next := x.reportIn
 	other := func() {
 		x.node = (x.node + 1) % len(w.Nodes)
 		next(sec)
@@ -177,7 +186,11 @@
 					x.renewed = max(x.renewed, sent)
 					x.run(a.Body.Commands)
 				}
+				x.waiting = false
 				next(every*3/4 + Micros(w.rng.IntN(int(every/2))))
+				if x.changed {
+					x.change()
+				}
 			case 421:
 				for i, o := range w.Nodes {
 					if o.name == a.Leader && i != x.node {
@@ -212,6 +225,28 @@
 	}, func() { x.do(other) })
 }
 
+// reportIn plans the next report.
+func (x *Worker) reportIn(d Micros) {
+	x.plan++
+	plan := x.plan
+	x.w.After(d, func() {
+		if plan == x.plan {
+			x.report()
+		}
+	})
+}
+
+// changeEvery is the least time between reports of changes.
+const changeEvery = sec / 2
+
+// change notes that there is something new to report.
+func (x *Worker) change() {
+	x.changed = true
+	if x.w.ReportChanges && x.up && !x.waiting {
+		x.reportIn(max(x.sent+changeEvery-x.w.now, 0))
+	}
+}
+
 // orders executes commands that came straight from a controller.
 func (x *Worker) orders(o *wire.Orders) (store.Outcome, *wire.Report) {
 	if o.Token < x.token || o.Session != x.session {
@@ -254,6 +289,7 @@
 	t := &simTask{task: task, attempt: attempt, state: wire.TaskFetching}
 	x.tasks[key] = t
 	x.order = append(x.order, key)
+	x.change()
 	j := x.w.Rules.jobs[id]
 	if j == nil {
 		t.state, t.cause = wire.TaskExited, wire.CauseUnknown
@@ -313,6 +349,7 @@
 
 func (x *Worker) begin(t *simTask) {
 	t.state, t.began = wire.TaskRunning, x.w.now
+	x.change()
 	if x.Sick {
 		x.later(t, sec/2, func() { x.exit(t, wire.CauseError, false) })
 		return
@@ -334,6 +371,7 @@
 func (x *Worker) exit(t *simTask, cause string, saved bool) {
 	x.left(t)
 	t.state, t.cause, t.saved = wire.TaskExited, cause, saved
+	x.change()
 	if t.job.Kind == wire.KindGang {
 		x.w.gangLost(t.job, t.attempt, cause)
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -83,15 +83,20 @@
 	Looked    int      // answers to those who look closely
 	Answers   []Micros // how long submissions waited for an answer
 	// Submissions of accepted jobs that were refused all the same.
-	KnownRefused int
-	Copied       int   // reports that were kept for a new leader and came to it
-	live         *Live // nil in virtual time
-	cuts         map[[2]string]Cut
-	deaf         map[string]bool // hosts that nothing reaches
-	mute         map[string]bool // machines that reach no controller
-	looks        *looks
-	copies       *copying
-	held         map[[2]string][]func()
+	KnownRefused  int
+	Copied        int // reports that were kept for a new leader and came to it
+	LeasesLost    int // leases of workers with tasks that ended
+	Relayed       int // reports that one controller handed on to another in a batch
+	RelayedOrders int // orders that one controller gave to another
+	// Workers report changes at once, at most twice a second, beside their steady reports.
+	ReportChanges bool
+	live          *Live // nil in virtual time
+	cuts          map[[2]string]Cut
+	deaf          map[string]bool // hosts that nothing reaches
+	mute          map[string]bool // machines that reach no controller
+	looks         *looks
+	copies        *copying
+	held          map[[2]string][]func()
 }
 
 // NewWorld makes a world with the given number of controllers.
@@ -115,6 +120,22 @@
 	return w
 }
 
+// Now is the world's time.
+func (w *World) Now() Micros { return w.now }
+
+// TasksOn is how many tasks are on machines.
+func (w *World) TasksOn() int {
+	n := 0
+	for _, x := range w.Cloud.Machines {
+		for _, t := range x.tasks {
+			if t.state == wire.TaskRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // At runs f at an instant.
 func (w *World) At(t Micros, f func()) {
 	w.seq++
@@ -273,6 +294,8 @@
 	old  bool   // comes up with the version in production
 	twin string // the name that it bears by mistake: another node's
 	core *controller.Core
+	// Share of its connections that it says are in use.
+	sockets float64
 }
 
 // Up reports whether the process runs.
@@ -328,11 +351,14 @@
 func (e *env) Wall() Micros             { return 1_700_000_000*sec + e.n.w.now }
 func (e *env) After(d Micros, f func()) { e.n.w.After(d, e.alive(f)) }
 func (e *env) State() store.Service     { return &stateClient{e} }
+func (e *env) Sockets() float64         { return e.n.sockets }
 func (e *env) Cloud() controller.Cloud  { return &cloudClient{e} }
 
 func (e *env) Ask(name string, m *peer.Msg, timeout Micros, done func(*peer.Msg)) {
 	w := e.n.w
 	frame := m.Encode() // the real codec, so that it is covered too
+	w.Relayed += len(m.Relayed)
+	w.RelayedOrders += len(m.Orders)
 	w.call(e.n.name, name, timeout, func(respond func(func())) {
 		to := w.node(name)
 		if to == nil || !to.Up() {
@@ -386,7 +412,7 @@
 
 // Leader finds the node that the state service says leads.
 func (w *World) Leader() *Node {
-	name := w.State.leader()
+	name := w.State.Leader()
 	return w.node(name)
 }
 
--- a/wire/fb/Kind.go
+++ b/wire/fb/Kind.go
@@ -7,30 +7,39 @@
 type Kind byte
 
 const (
-	KindHello  Kind = 0
-	KindStatus Kind = 1
-	KindCancel Kind = 2
-	KindSubmit Kind = 3
-	KindAnswer Kind = 4
-	KindReport Kind = 5
+	KindHello   Kind = 0
+	KindStatus  Kind = 1
+	KindCancel  Kind = 2
+	KindSubmit  Kind = 3
+	KindAnswer  Kind = 4
+	KindReport  Kind = 5
+	KindReports Kind = 6
+	KindOrders  Kind = 7
+	KindResults Kind = 8
 )
 
 var EnumNamesKind = map[Kind]string{
-	KindHello:  "Hello",
-	KindStatus: "Status",
-	KindCancel: "Cancel",
-	KindSubmit: "Submit",
-	KindAnswer: "Answer",
-	KindReport: "Report",
+	KindHello:   "Hello",
+	KindStatus:  "Status",
+	KindCancel:  "Cancel",
+	KindSubmit:  "Submit",
+	KindAnswer:  "Answer",
+	KindReport:  "Report",
+	KindReports: "Reports",
+	KindOrders:  "Orders",
+	KindResults: "Results",
 }
 
 var EnumValuesKind = map[string]Kind{
-	"Hello":  KindHello,
-	"Status": KindStatus,
-	"Cancel": KindCancel,
-	"Submit": KindSubmit,
-	"Answer": KindAnswer,
-	"Report": KindReport,
+	"Hello":   KindHello,
+	"Status":  KindStatus,
+	"Cancel":  KindCancel,
+	"Submit":  KindSubmit,
+	"Answer":  KindAnswer,
+	"Report":  KindReport,
+	"Reports": KindReports,
+	"Orders":  KindOrders,
+	"Results": KindResults,
 }
 
 func (v Kind) String() string {
--- a/wire/fb/Message.go
+++ b/wire/fb/Message.go
@@ -273,8 +273,113 @@
 	return rcv._tab.MutateUint64Slot(40, n)
 }
 
+func (rcv *Message) Relayed(obj *ReportItem, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(42))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Message) RelayedLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(42))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Message) Answers(obj *AnswerItem, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(44))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Message) AnswersLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(44))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Message) Orders(obj *OrderItem, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(46))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Message) OrdersLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(46))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Message) Results(obj *ResultItem, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(48))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Message) ResultsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(48))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Message) Relays(obj *Relays) *Relays {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(50))
+	if o != 0 {
+		x := rcv._tab.Indirect(o + rcv._tab.Pos)
+		if obj == nil {
+			obj = new(Relays)
+		}
+		obj.Init(rcv._tab.Bytes, x)
+		return obj
+	}
+	return nil
+}
+
+func (rcv *Message) Sockets() uint16 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(52))
+	if o != 0 {
+		return rcv._tab.GetUint16(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Message) MutateSockets(n uint16) bool {
+	return rcv._tab.MutateUint16Slot(52, n)
+}
+
 func MessageStart(builder *flatbuffers.Builder) {
-	builder.StartObject(19)
+	builder.StartObject(25)
 }
 func MessageAddId(builder *flatbuffers.Builder, id uint64) {
 	builder.PrependUint64Slot(0, id, 0)
@@ -336,6 +441,36 @@
 func MessageAddIncarnation(builder *flatbuffers.Builder, incarnation uint64) {
 	builder.PrependUint64Slot(18, incarnation, 0)
 }
+func MessageAddRelayed(builder *flatbuffers.Builder, relayed flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(19, flatbuffers.UOffsetT(relayed), 0)
+}
+func MessageStartRelayedVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MessageAddAnswers(builder *flatbuffers.Builder, answers flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(20, flatbuffers.UOffsetT(answers), 0)
+}
+func MessageStartAnswersVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MessageAddOrders(builder *flatbuffers.Builder, orders flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(21, flatbuffers.UOffsetT(orders), 0)
+}
+func MessageStartOrdersVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MessageAddResults(builder *flatbuffers.Builder, results flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(22, flatbuffers.UOffsetT(results), 0)
+}
+func MessageStartResultsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func MessageAddRelays(builder *flatbuffers.Builder, relays flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(23, flatbuffers.UOffsetT(relays), 0)
+}
+func MessageAddSockets(builder *flatbuffers.Builder, sockets uint16) {
+	builder.PrependUint16Slot(24, sockets, 0)
+}
 func MessageEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
