--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,263 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"lilacthread/internal/config"
+	"lilacthread/internal/sim"
+	"lilacthread/wire"
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Program  string   // the controller's executable
+	Args     []string // its arguments before --config
+	Progress io.Writer
+	Log      io.Writer // of the controllers
+}
+
+// deployment is a run under way.
+type deployment struct {
+	*Scenario
+	Options
+	live     *sim.Live
+	dir      string
+	settings []config.Config
+	procs    []*exec.Cmd
+	before   []Usage // of a controller's earlier processes
+	users    *users
+	report   *Report
+}
+
+// Run plays a scenario and ends by itself, or when ctx does. The report is given as far as
+// it came; its Broken lists the rules that did not hold.
+func Run(ctx context.Context, s *Scenario, o Options) (*Report, error) {
+	if err := s.checkMachine(); err != nil {
+		return nil, err
+	}
+	d := &deployment{Scenario: s, Options: o, report: &Report{Scenario: s}}
+	defer d.close()
+	if err := d.open(); err != nil {
+		return d.report, err
+	}
+	if err := d.ramp(ctx); err != nil {
+		return d.report, err
+	}
+	for i := range s.Phases {
+		if err := d.play(ctx, &s.Phases[i]); err != nil {
+			return d.report, err
+		}
+	}
+	d.finish()
+	return d.report, nil
+}
+
+// open starts the stand-ins and the controllers.
+func (d *deployment) open() error {
+	w := sim.NewWorld(d.Controllers, nil, 7)
+	d.apply(&w.Config)
+	w.Config.Params.Size, w.ReportChanges = d.Controllers, true
+	zones := w.Config.Params.Zones
+	w.Cloud.Types = []wire.MachineType{d.machineType(zones)}
+	for i, zone := range zones {
+		share := d.Workers / len(zones)
+		if i < d.Workers%len(zones) {
+			share++
+		}
+		w.Cloud.Capacity["worker/"+zone], w.Cloud.Capacity["worker/"+zone+"/spot"] = share, 0
+	}
+	var err error
+	if d.live, d.settings, err = sim.Deploy(w); err != nil {
+		return err
+	}
+	if d.dir, err = os.MkdirTemp("", "scale"); err != nil {
+		return err
+	}
+	d.procs, d.before = make([]*exec.Cmd, d.Controllers), make([]Usage, d.Controllers)
+	for i := range d.settings {
+		raw, err := json.Marshal(&d.settings[i])
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(d.path(i), raw, 0o600); err != nil {
+			return err
+		}
+		if err := d.start(i); err != nil {
+			return err
+		}
+	}
+	d.users = newUsers(d)
+	return nil
+}
+
+func (d *deployment) path(i int) string { return filepath.Join(d.dir, d.settings[i].Name+".json") }
+
+func (d *deployment) start(i int) error {
+	cmd := exec.Command(d.Program, append(append([]string(nil), d.Args...), "--config", d.path(i))...)
+	cmd.Stderr = d.Log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	d.procs[i] = cmd
+	return nil
+}
+
+// kill ends a controller without a word; what it took counts on.
+func (d *deployment) kill(i int) {
+	cmd := d.procs[i]
+	if cmd == nil {
+		return
+	}
+	if u, err := usageOf(cmd.Process.Pid); err == nil {
+		d.before[i].add(u)
+	}
+	cmd.Process.Kill()
+	cmd.Wait() // says that it was killed
+	d.procs[i] = nil
+}
+
+func (d *deployment) close() {
+	if d.users != nil {
+		d.users.stop()
+	}
+	for i := range d.procs {
+		d.kill(i)
+	}
+	if d.live != nil {
+		d.live.Close()
+	}
+	if d.dir != "" {
+		os.RemoveAll(d.dir)
+	}
+}
+
+// leader is the index of the controller that leads, or -1.
+func (d *deployment) leader() int {
+	at := -1
+	d.live.Do(func(w *sim.World) {
+		for i := range d.settings {
+			if d.settings[i].Name == w.State.Leader() {
+				at = i
+			}
+		}
+	})
+	return at
+}
+
+// rampLimit is how long the fleet may take to come up.
+const rampLimit = 4 * time.Minute
+
+// ramp rents the fleet: one replica of a service keeps each machine.
+func (d *deployment) ramp(ctx context.Context) error {
+	d.users.fill()
+	begin := time.Now()
+	for tick := 0; ; tick++ {
+		up := 0
+		d.live.Do(func(w *sim.World) { up = w.TasksOn() })
+		if tick%10 == 0 {
+			fmt.Fprintf(d.Progress, "ramp: %d of %d workers, %.0f s\n", up, d.Workers, time.Since(begin).Seconds())
+		}
+		if up >= d.Workers*99/100 {
+			d.report.Ramp = time.Since(begin).Seconds()
+			return sleep(ctx, 5*time.Second)
+		}
+		if time.Since(begin) > rampLimit {
+			return fmt.Errorf("only %d of %d workers came up in %v", up, d.Workers, rampLimit)
+		}
+		if err := sleep(ctx, time.Second); err != nil {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// play runs one phase and measures it, but for its first seconds, in which the load grows.
+func (d *deployment) play(ctx context.Context, p *Phase) error {
+	if p.Kill != "" {
+		d.killOne(p)
+	}
+	d.users.load(p)
+	settle := min(p.For/3, time.Duration(1.5*p.Run*float64(time.Second)))
+	if p.Kill != "" {
+		settle = 0
+	}
+	if err := sleep(ctx, settle); err != nil {
+		return err
+	}
+	from := d.sample()
+	for left := p.For - settle; left > 0; left -= time.Second {
+		if err := sleep(ctx, min(left, time.Second)); err != nil {
+			return err
+		}
+		if err := d.watchMemory(); err != nil {
+			return err
+		}
+	}
+	result := d.compare(p, from, d.sample())
+	d.report.Phases = append(d.report.Phases, result)
+	fmt.Fprintln(d.Progress, result.line())
+	return nil
+}
+
+// killOne kills the leader or another controller and starts it again.
+func (d *deployment) killOne(p *Phase) {
+	victim := d.leader()
+	if p.Kill == "follower" {
+		victim = (victim + 1) % d.Controllers
+	}
+	if victim < 0 {
+		return
+	}
+	d.kill(victim)
+	time.Sleep(time.Duration(p.Back * float64(time.Second)))
+	if err := d.start(victim); err != nil {
+		d.report.Broken = append(d.report.Broken, "not started again: "+err.Error())
+	}
+}
+
+var errMemory = errors.New("the run took more than half of the machine's memory")
+
+// watchMemory ends a run that grows beyond half of the machine's memory.
+func (d *deployment) watchMemory() error {
+	sum := int64(0)
+	for _, u := range d.sample().processes {
+		sum += u.Resident
+	}
+	if sum > memory()/2 {
+		return errMemory
+	}
+	return nil
+}
+
+// drainFor is how long users may wait for their last jobs.
+const drainFor = 30 * time.Second
+
+// finish lets the last jobs end and judges the run.
+func (d *deployment) finish() {
+	d.users.drain(drainFor)
+	d.live.Do(func(w *sim.World) {
+		w.Rules.Sweep(w.Now())
+		w.Rules.Finish()
+		d.report.Broken = append(d.report.Broken, w.Rules.Broken...)
+		d.report.waits(w.Rules)
+	})
+	d.report.Unfinished = d.users.unfinished()
+	d.report.Submissions = newQuantiles(d.users.answers, 1000)
+	d.report.Refused = int(d.users.refused.Load())
+}
