A launch lost with its carrier goes out again with answers to reports

Change: where an order went through another controller and stays unanswered, the same attempt is launched again with answers to reports that lack it, which has no effect if the worker knows it; such an attempt is never reaped in that session, as the first launch may come later. Straight orders are as before.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -13,7 +13,10 @@
 // They differ from answers to reports in one thing: an order may be executed
 // whenever it arrives, as long as token and session match. So a launch whose
 // order is not answered holds its place until a report shows it, the session
-// moves on, or the machine is returned.
+// moves on, or the machine is returned. One that was lost on the way through another
+// controller is sent again with the answers to reports that lack it, since a launch of
+// an attempt that the worker knows has no effect; as the first may come later, the
+// worker is not told to forget that attempt.
 
 // orderSoon notes that a machine has something to be told.
 func (c *Core) orderSoon(m *sched.Machine) { c.toOrder = append(c.toOrder, m) }
@@ -85,13 +88,16 @@
 			m.Lives += carrier.OrderWithin // another controller may send it so much later
 		}
 	}
-	session := m.Session
+	session, via := m.Session, c.router.Via(m.ID)
 	c.sendTo(m, append(stop, start...), func(o store.Outcome, r *wire.Report) {
 		if m.Session != session {
 			return // all that was on it has left
 		}
 		if o == store.Unknown {
 			m.LostOrder = true
+			if via != "" { // most likely the carrier is gone, not the way to the worker
+				loseOrder(m, start)
+			}
 			slog.Info("order without an answer", "machine", m.ID, "launches", len(start))
 			return
 		}
@@ -127,6 +133,15 @@
 	})
 }
 
+// loseOrder notes that it will not be known what became of an order's launches.
+func loseOrder(m *sched.Machine, start []wire.Command) {
+	for _, cmd := range start {
+		if p := m.Places[cmd.Task]; p != nil && p.Attempt == cmd.Attempt && p.Direct {
+			p.Lost = true
+		}
+	}
+}
+
 // unanswered reports whether a machine holds a launch whose order was not
 // answered for so long that its session ought to have ended, and whether it
 // holds nothing else.
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -119,7 +119,7 @@
 		if c.renewedInVain(m, now) {
 			c.suspect(m, oneway.SessionLost, now)
 		}
-		m.OrderSeq = 0
+		m.OrderSeq, m.Unreaped = 0, nil
 		for _, p := range places(m) {
 			// Written before the worker had heard the term that placed it, the report may
 			// be a late copy of a machine that was since started anew.
@@ -217,7 +217,7 @@
 		}
 		if cmd, ok := c.stray(m, t, now); ok {
 			forget = append(forget, cmd)
-		} else {
+		} else if m.Places[t.Task] != nil && m.Places[t.Task].Attempt == t.Attempt {
 			reported[t.Task] = t // adopted
 		}
 	}
@@ -252,9 +252,9 @@
 }
 
 // commands lists what a machine is to stop and to start, in an answer to its
-// report or in a direct order. An order starts only what was never sent; what
-// an unanswered order may yet start is not sent again, lest it start a second
-// time after it was forgotten.
+// report or in a direct order. An order starts only what was never sent; what an
+// order without an answer may yet start is sent again with answers to reports, and
+// never forgotten by the worker, lest it start a second time after that.
 func (c *Core) commands(m *sched.Machine, held []*sched.Placement, now Micros, direct bool) (stop, start []wire.Command) {
 	stop = []wire.Command{}
 	for _, p := range held {
@@ -278,7 +278,11 @@
 			}
 			stop = append(stop, wire.Command{Op: wire.OpStop, Task: p.Task, Attempt: p.Attempt, Grace: &grace})
 		case m.Downlink.Partitioned:
-		case p.Committed && !p.Seen && p.Session == m.Session && !p.Inherited && !p.Direct && !(direct && p.Sent):
+		case !p.Committed || p.Seen || p.Session != m.Session || p.Inherited || direct && p.Sent:
+		case p.Direct && p.Lost:
+			p.Resent = true
+			start = append(start, wire.Command{Op: wire.OpStart, Task: p.Task, Attempt: p.Attempt})
+		case !p.Direct:
 			p.Sent, p.SentAt, p.Direct = true, now, direct
 			start = append(start, wire.Command{Op: wire.OpStart, Task: p.Task, Attempt: p.Attempt})
 		}
@@ -287,13 +291,16 @@
 }
 
 // stray deals with a reported task that holds no place here: an exited one is
-// forgotten, a live one adopted if its job wants it, or stopped. It reports
-// false when the task was adopted.
+// forgotten, unless it might be started again then; a live one is adopted if its
+// job wants it, or stopped. It reports false when there is no command.
 func (c *Core) stray(m *sched.Machine, t *wire.TaskReport, now Micros) (wire.Command, bool) {
 	jobID, index, _ := wire.SplitTask(t.Task)
 	j := c.jobs[jobID]
 	free := j != nil && j.Active() && !j.Waiting() && index < len(j.Tasks) && j.Tasks[index].State == sched.Pending && !j.Gang()
 	if t.State == wire.TaskExited {
+		if m.Unreaped[sched.Attempt{Task: t.Task, Number: t.Attempt}] {
+			return wire.Command{}, false
+		}
 		if !free || t.Cause != wire.CauseDone {
 			return wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt}, true
 		}
@@ -462,6 +469,9 @@
 	if p.Machine.Places[p.Task] != p {
 		return
 	}
+	if p.Resent && p.Session == p.Machine.Session {
+		keepAttempt(p)
+	}
 	sched.Detach(p, c.teams)
 	now := c.env.Now()
 	if !p.Machine.Busy() {
@@ -499,6 +509,15 @@
 	c.archive(j)
 }
 
+// keepAttempt has the worker of a placement not be told to forget it.
+func keepAttempt(p *sched.Placement) {
+	m := p.Machine
+	if m.Unreaped == nil {
+		m.Unreaped = map[sched.Attempt]bool{}
+	}
+	m.Unreaped[sched.Attempt{Task: p.Task, Number: p.Attempt}] = true
+}
+
 // proveByLease frees the places of machines whose lease has surely ended: the
 // worker had acknowledged our token, so only our answers renewed it.
 func (c *Core) proveByLease(now Micros) {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -132,6 +132,8 @@
 	InJob     bool    // its job's records hold it, so that its machine's need not
 	Sent      bool    // a launch may have been sent
 	Direct    bool    // by an order that is not answered: only the session's end proves absence
+	Lost      bool    // and will not be: its outcome is unknown
+	Resent    bool    // the launch was sent again since, so that two may be on their way
 	SentAt    Micros
 	Seen      bool // reported under our token
 	Inherited bool // from an earlier leader: an acknowledged report proves absence
@@ -142,6 +144,12 @@
 	Grace     float64
 }
 
+// Attempt names one start of a task.
+type Attempt struct {
+	Task   string
+	Number uint64
+}
+
 // Left is how long a placed task is expected to run yet from when it began here.
 func (pl *Placement) Left() Micros { return pl.Job.Estimate - pl.Job.Tasks[pl.Index].Progress }
 
@@ -182,6 +190,10 @@
 	Doubted   Micros          // when it was last asked whether it was started anew
 	Anew      bool            // it was
 
+	// Unreaped are attempts that a launch still on its way would start again if the worker
+	// forgot them, in the present session.
+	Unreaped map[Attempt]bool
+
 	Errors    int             // failures since the last success
 	ErrorJobs map[string]bool // whose failures those were
 	AvoidTill Micros
