--- /dev/null
+++ b/internal/sim/script_expect.go
@@ -0,0 +1,301 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"lilacthread/wire"
+)
+
+// expectations are what a line "expect NAME" judges; any other name is a job's.
+var expectations = map[string]func(*script, args) error{
+	"machines":      (*script).expectMachines,
+	"over":          (*script).expectOver,
+	"accepted":      (*script).expectAccepted,
+	"overload":      (*script).expectOverload,
+	"known-refused": (*script).expectKnownRefused,
+	"answers":       (*script).expectAnswers,
+	"value":         (*script).expectValue,
+	"requests":      (*script).expectRequests,
+	"term":          (*script).expectTerm,
+	"relayed":       (*script).expectRelayed,
+	"carried":       (*script).expectCarried,
+	"leases-lost":   (*script).expectLeasesLost,
+	"looks":         (*script).expectLooks,
+	"kept-copies":   (*script).expectKeptCopies,
+	"late-txns":     (*script).expectLateTxns,
+	"starts":        (*script).expectStarts,
+	"stale-lost":    (*script).expectStaleLost,
+	"late-returns":  (*script).expectLateReturns,
+	"rented":        (*script).expectRented,
+	"intents":       (*script).expectIntents,
+	"refused-txns":  (*script).expectRefusedTxns,
+	"running":       (*script).expectRunning,
+}
+
+// expectation is judged at the end, or at the time given by "at".
+func (s *script) expectation(a args) func() {
+	w := s.w
+	judge := expectations[a.word(0)]
+	if judge == nil {
+		judge = (*script).expectJob
+	}
+	check := func() error { return judge(s, a) }
+	return func() {
+		if w.now > 0 {
+			if err := check(); err != nil {
+				s.expect = append(s.expect, func() error { return err })
+			}
+			return
+		}
+		s.expect = append(s.expect, check)
+	}
+}
+
+// expectMachines: how many machines there are.
+func (s *script) expectMachines(a args) error {
+	w := s.w
+	if n := len(w.Cloud.Machines); n > int(a.num("max", 1e9)) || n < int(a.num("min", 0)) {
+		return fmt.Errorf("t=%v: %d machines", w.now.Seconds(), n)
+	}
+	return nil
+}
+
+// expectOver: a job, or all, are done or cancelled as their users wished.
+func (s *script) expectOver(a args) error {
+	w := s.w
+	if a.word(1) != "all" {
+		return s.over(a.word(1))()
+	}
+	for _, id := range sortedKeys(w.Users) {
+		if err := s.over(id)(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// expectAccepted: of all users, in time.
+func (s *script) expectAccepted(a args) error {
+	w := s.w
+	most, n := Micros(0), 0
+	for _, id := range sortedKeys(w.Users) {
+		if u := w.Users[id]; !u.accepted {
+			return fmt.Errorf("t=%v: %s is not accepted (answer %d)", w.now.Seconds(), id, u.code)
+		} else if since := w.Rules.jobs[id].since - u.first; since > most {
+			most = since
+		}
+		n += w.Users[id].refused
+	}
+	if most.Seconds() > a.num("within", 60) || n > int(a.num("refused", 1e9)) || n < int(a.num("min-refused", 0)) {
+		return fmt.Errorf("t=%v: accepted after up to %v s, %d refusals", w.now.Seconds(), most.Seconds(), n)
+	}
+	return nil
+}
+
+// expectOverload: as the leader has it.
+func (s *script) expectOverload(a args) error {
+	w := s.w
+	if l := w.Leader(); l == nil || !l.Up() || !l.core.Admission().Over {
+		return fmt.Errorf("t=%v: no overload", w.now.Seconds())
+	}
+	return nil
+}
+
+// expectKnownRefused: of jobs that were accepted.
+func (s *script) expectKnownRefused(a args) error {
+	w := s.w
+	if w.KnownRefused > 0 {
+		return fmt.Errorf("t=%v: %d accepted jobs were refused", w.now.Seconds(), w.KnownRefused)
+	}
+	return nil
+}
+
+// expectAnswers: to submissions, of any kind.
+func (s *script) expectAnswers(a args) error {
+	w := s.w
+	list := slices.Sorted(slices.Values(w.Answers))
+	if at := list[len(list)*99/100]; at.Seconds() > a.num("p99", 0.2) {
+		return fmt.Errorf("t=%v: p99 of %d answers %v s", w.now.Seconds(), len(list), at.Seconds())
+	}
+	return nil
+}
+
+// expectValue: the largest value that was asked for.
+func (s *script) expectValue(a args) error {
+	w := s.w
+	if w.State.Largest > int(a.num("max", 1e9)) || w.State.Largest < int(a.num("min", 0)) {
+		return fmt.Errorf("t=%v: a value of %d bytes", w.now.Seconds(), w.State.Largest)
+	}
+	return nil
+}
+
+// expectRequests: to the state service, in its busiest second.
+func (s *script) expectRequests(a args) error {
+	w := s.w
+	if w.State.Busiest > int(a.num("max", 0)) || w.State.Busiest < int(a.num("min", 0)) {
+		return fmt.Errorf("t=%v: %d requests in a second", w.now.Seconds(), w.State.Busiest)
+	}
+	return nil
+}
+
+// expectTerm: the term of the latest election.
+func (s *script) expectTerm(a args) error {
+	w := s.w
+	if n := w.State.term(); n < int(a.num("min", 0)) || n > int(a.num("max", 1e9)) {
+		return fmt.Errorf("t=%v: term %d", w.now.Seconds(), n)
+	}
+	return nil
+}
+
+// expectRelayed: reports, or with the word orders these.
+func (s *script) expectRelayed(a args) error {
+	w := s.w
+	n := w.Relayed
+	if a.has("orders") {
+		n = w.RelayedOrders
+	}
+	if n < int(a.num("min", 0)) || n > int(a.num("max", 1e9)) {
+		return fmt.Errorf("t=%v: %d relayed", w.now.Seconds(), n)
+	}
+	return nil
+}
+
+// expectCarried: workers by a controller, as the leader has it.
+func (s *script) expectCarried(a args) error {
+	w := s.w
+	n := w.Leader().core.Relays().Carried[a.word(1)]
+	if n < int(a.num("min", 0)) || n > int(a.num("max", 1e9)) {
+		return fmt.Errorf("t=%v: %s carries %d", w.now.Seconds(), a.word(1), n)
+	}
+	return nil
+}
+
+// expectLeasesLost: leases of workers with tasks that ended.
+func (s *script) expectLeasesLost(a args) error {
+	w := s.w
+	if w.LeasesLost > int(a.num("max", 0)) {
+		return fmt.Errorf("t=%v: %d leases lost", w.now.Seconds(), w.LeasesLost)
+	}
+	return nil
+}
+
+// expectLooks: that were answered.
+func (s *script) expectLooks(a args) error {
+	w := s.w
+	if w.Looked < int(a.num("min", 1)) {
+		return fmt.Errorf("t=%v: %d close looks", w.now.Seconds(), w.Looked)
+	}
+	return nil
+}
+
+// expectKeptCopies: that came to a new leader.
+func (s *script) expectKeptCopies(a args) error {
+	w := s.w
+	if w.Copied < int(a.num("min", 1)) {
+		return fmt.Errorf("t=%v: %d reports came to a new leader", w.now.Seconds(), w.Copied)
+	}
+	return nil
+}
+
+// expectLateTxns: that were carried out late, with no answer.
+func (s *script) expectLateTxns(a args) error {
+	w := s.w
+	if w.State.Delayed < int(a.num("min", 1)) {
+		return fmt.Errorf("t=%v: %d late transactions", w.now.Seconds(), w.State.Delayed)
+	}
+	return nil
+}
+
+// expectStarts: of tasks, on the whole day.
+func (s *script) expectStarts(a args) error {
+	w := s.w
+	if n := w.Rules.started; n > int(a.num("max", 1e9)) || n < int(a.num("min", 0)) {
+		return fmt.Errorf("t=%v: %d starts", w.now.Seconds(), w.Rules.started)
+	}
+	return nil
+}
+
+// expectStaleLost: tasks that a return took along whose caller leads no more.
+func (s *script) expectStaleLost(a args) error {
+	w := s.w
+	if n := w.Cloud.StaleLost; n > int(a.num("max", 0)) {
+		return fmt.Errorf("t=%v: %d tasks went with stale returns", w.now.Seconds(), n)
+	}
+	return nil
+}
+
+// expectLateReturns: that were carried out.
+func (s *script) expectLateReturns(a args) error {
+	w := s.w
+	if w.Cloud.LateReturns < int(a.num("min", 1)) {
+		return fmt.Errorf("t=%v: %d late returns", w.now.Seconds(), w.Cloud.LateReturns)
+	}
+	return nil
+}
+
+// expectRented: machines, on the whole day.
+func (s *script) expectRented(a args) error {
+	w := s.w
+	if n := w.Cloud.count; n > int(a.num("max", 1e9)) || n < int(a.num("min", 0)) {
+		return fmt.Errorf("t=%v: %d machines were rented", w.now.Seconds(), n)
+	}
+	return nil
+}
+
+// expectIntents: that stand.
+func (s *script) expectIntents(a args) error {
+	w := s.w
+	n := 0
+	for key := range w.State.items {
+		if strings.HasPrefix(key, "i/") {
+			n++
+		}
+	}
+	if n > int(a.num("max", 0)) {
+		return fmt.Errorf("t=%v: %d intents stand", w.now.Seconds(), n)
+	}
+	return nil
+}
+
+// expectRefusedTxns: transactions that the state service refused.
+func (s *script) expectRefusedTxns(a args) error {
+	w := s.w
+	if w.State.Refused > int(a.num("max", 0)) || w.State.Refused < int(a.num("min", 0)) {
+		return fmt.Errorf("t=%v: %d transactions refused", w.now.Seconds(), w.State.Refused)
+	}
+	return nil
+}
+
+// expectRunning: how many of a job's tasks are on machines.
+func (s *script) expectRunning(a args) error {
+	w := s.w
+	n := 0
+	for task, on := range w.Rules.on {
+		if strings.HasPrefix(task, a.word(1)+"/") {
+			n += len(on)
+		}
+	}
+	if least := int(a.num("min", 0)); n < least || least == 0 && n != int(a.num("tasks", 0)) {
+		return fmt.Errorf("t=%v: %s has %d tasks on machines, not %v", w.now.Seconds(), a.word(1), n, max(a.num("tasks", 0), float64(least)))
+	}
+	return nil
+}
+
+// expectJob: what the user of a job was told last.
+func (s *script) expectJob(a args) error {
+	w := s.w
+	u := w.Users[a.word(0)]
+	if u == nil {
+		return fmt.Errorf("nobody submitted %s", a.word(0))
+	}
+	want := map[string]string{"done": wire.PhaseDone, "cancelled": wire.PhaseCancelled, "running": wire.PhaseRunning, "queued": wire.PhaseQueued}[a.word(1)]
+	if a.word(1) == "refused" && u.code == 422 || a.word(1) == "malformed" && u.code == 400 {
+		return nil
+	}
+	if u.Last != want {
+		return fmt.Errorf("t=%v: %s is %q, not %q (answer %d)", w.now.Seconds(), a.word(0), u.Last, a.word(1), u.code)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sim/script_machines.go
@@ -0,0 +1,80 @@
+package sim
+
+import "math/rand/v2"
+
+// Troubles of machines.
+
+// doNoBoot: machines that never come up.
+func (s *script) doNoBoot(a args) func() {
+	w := s.w
+	return func() { w.Cloud.NoBoot = int(a.num("count", 1)) }
+}
+
+// doHang: a machine stands still.
+func (s *script) doHang(a args) func() {
+	w := s.w
+	return func() {
+		x := s.worker(a)
+		x.Hang(true)
+		w.After(a.span("for", 5), func() { x.Hang(false) })
+	}
+}
+
+// doDead: a machine stops with all that is on it; the list goes on naming it.
+func (s *script) doDead(a args) func() {
+	return func() { s.worker(a).die() }
+}
+
+// doReborn: a machine is back at once, and counts from the beginning.
+func (s *script) doReborn(a args) func() {
+	return func() { s.worker(a).Reborn() }
+}
+
+// doSick: a machine fails its tasks.
+func (s *script) doSick(a args) func() {
+	return func() { s.worker(a).Sick = true }
+}
+
+// doNotice: a spot notice.
+func (s *script) doNotice(a args) func() {
+	return func() { s.worker(a).Notify(a.span("in", 8)) }
+}
+
+// doTake: the cloud takes a machine.
+func (s *script) doTake(a args) func() {
+	w := s.w
+	return func() { w.Cloud.remove(s.worker(a).id) }
+}
+
+// doWave: many machines at once: hang, cut, deaf, mute, reborn, sick, or taken.
+func (s *script) doWave(a args) func() {
+	w := s.w
+	return func() {
+		rng := rand.New(rand.NewPCG(uint64(w.now), 3))
+		for _, id := range sortedKeys(w.Cloud.Machines) {
+			if rng.Float64() >= a.num("share", 0.3) {
+				continue
+			}
+			switch x := w.Cloud.Machines[id]; a.word(0) {
+			case "hang":
+				x.Hang(true)
+				w.After(a.span("for", 10), func() { x.Hang(false) })
+			case "cut":
+				s.verb("isolate", args{words: []string{"", "hold"}, pairs: map[string]string{"machine": id, "for": a.pairs["for"]}})()
+			case "deaf":
+				w.markFor(w.deaf, id, a.span("for", 10))
+			case "mute":
+				w.markFor(w.mute, id, a.span("for", 10))
+			case "reborn":
+				x.Reborn()
+			case "sick":
+				x.Sick = true
+				w.After(a.span("for", 10), func() { x.Sick = false })
+			case "taken":
+				w.Cloud.remove(id)
+			default:
+				panic("wave: " + a.word(0))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/sim/script_nodes.go
@@ -0,0 +1,137 @@
+package sim
+
+import "math/rand/v2"
+
+// Troubles of controllers, the state service and the cloud.
+
+// doSockets: a controller says that so much of its connections is in use.
+func (s *script) doSockets(a args) func() {
+	return func() { s.node(a.word(0)).sockets = a.num("share", 0.9) }
+}
+
+// doSlow: the state service takes longer.
+func (s *script) doSlow(a args) func() {
+	w := s.w
+	return func() {
+		w.State.Slow = a.span("by", 0.2)
+		w.After(a.span("for", 20), func() { w.State.Slow = 0 })
+	}
+}
+
+// doKill: processes end without a word, and come back.
+func (s *script) doKill(a args) func() {
+	w := s.w
+	return func() {
+		var nodes []*Node
+		if a.word(0) == "all" {
+			nodes = w.Nodes
+		} else {
+			nodes = []*Node{s.node(a.word(0))}
+		}
+		for _, n := range nodes {
+			n.Kill()
+			w.After(a.span("for", 5), n.Start)
+		}
+	}
+}
+
+// doTwin: one more process, on a machine of its own, that bears a node's name.
+func (s *script) doTwin(a args) func() {
+	w := s.w
+	return func() {
+		name := s.node(a.word(0)).name
+		w.Nodes = append(w.Nodes, &Node{w: w, name: name + "-twin", twin: name})
+		w.Nodes[len(w.Nodes)-1].Start()
+	}
+}
+
+// doThrottle: the state service takes fewer changes a second than it says.
+func (s *script) doThrottle(a args) func() {
+	w := s.w
+	return func() {
+		w.State.Rate = a.num("rate", 5)
+		w.After(a.span("for", 20), func() { w.State.Rate = 0 })
+	}
+}
+
+// doUpgrade: kills a node; it comes back with the new version.
+func (s *script) doUpgrade(a args) func() {
+	w := s.w
+	return func() {
+		for _, n := range w.Nodes {
+			if n.old && (a.word(0) == n.name || a.word(0) == "next") {
+				n.old = false
+				n.Kill()
+				w.After(a.span("for", 3), n.Start)
+				return
+			}
+		}
+	}
+}
+
+// doRefuse: the state service refuses a node.
+func (s *script) doRefuse(a args) func() {
+	w := s.w
+	return func() {
+		n := s.node(a.word(0)).name
+		w.State.Refuse[n] = true
+		w.After(a.span("for", 20), func() { w.State.Refuse[n] = false; w.State.notify() })
+	}
+}
+
+// doOutage: of the state service or the cloud.
+func (s *script) doOutage(a args) func() {
+	w := s.w
+	return func() {
+		switch a.word(0) {
+		case "state":
+			w.State.SetOutage(true)
+			w.After(a.span("for", 20), func() { w.State.SetOutage(false) })
+		case "cloud":
+			w.Cloud.Outage = true
+			w.After(a.span("for", 20), func() { w.Cloud.Outage = false })
+		}
+	}
+}
+
+// doLateTxn: a node's next transaction is applied late.
+func (s *script) doLateTxn(a args) func() {
+	w := s.w
+	return func() {
+		w.State.Late[s.node(a.word(0)).name] = a.span("by", 10)
+		w.State.LateKeys = a.pairs["keys"]
+	}
+}
+
+// doLateWrites: of any node; see lateWrites.
+func (s *script) doLateWrites(a args) func() {
+	w := s.w
+	return func() {
+		w.State.LateOnes = &lateWrites{a.num("share", 0.3), rand.New(rand.NewPCG(uint64(w.now), 5)), a.has("at-once")}
+		w.After(a.span("for", 20), func() { w.State.LateOnes = nil })
+	}
+}
+
+// doLostAnswer: a node's next transaction gets no answer.
+func (s *script) doLostAnswer(a args) func() {
+	w := s.w
+	return func() { w.State.Lost[s.node(a.word(0)).name] = true }
+}
+
+// doLateOrder: the next order is executed late.
+func (s *script) doLateOrder(a args) func() {
+	w := s.w
+	return func() { w.LateOrder = a.span("by", 10) }
+}
+
+// doLateReturn: the next return is executed late.
+func (s *script) doLateReturn(a args) func() {
+	w := s.w
+	return func() { w.Cloud.LateReturn = a.span("by", 20) }
+}
+
+// doLateRent: the next rental is executed late.
+func (s *script) doLateRent(a args) func() {
+	w := s.w
+	return func() { w.Cloud.LateRent = a.span("by", 20) }
+}
--- /dev/null
+++ b/internal/sim/script_users.go
@@ -0,0 +1,119 @@
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"lilacthread/internal/controller"
+	"lilacthread/wire"
+)
+
+// What users do.
+
+// doSubmit: a user submits a job.
+func (s *script) doSubmit(a args) func() {
+	w := s.w
+	job := s.job(a)
+	return func() {
+		if a.has("malformed") { // a field is missing
+			u := w.Follow(job)
+			u.submitAs(u.malformed)
+			return
+		}
+		w.Submit(job)
+	}
+}
+
+// doMany: small jobs, req-100000 on.
+func (s *script) doMany(a args) func() {
+	w := s.w
+	return func() {
+		for i := range int(a.num("count", 10)) {
+			w.At(sec, s.verb("submit", parseArgs([]string{many(i), "array", "cpus=1", "run=" + a.pairs["run"]})))
+		}
+	}
+}
+
+// doBurst: jobs like the one described, numbered from the id on.
+func (s *script) doBurst(a args) func() {
+	w := s.w
+	return func() {
+		id, count := a.word(0), int(a.num("count", 10))
+		first, err := strconv.Atoi(strings.TrimPrefix(id, "req-"))
+		if err != nil {
+			panic("burst: " + id)
+		}
+		every := int(a.num("cancel", 0)) // so many are cancelled: each at some instant of its first seconds
+		rng := rand.New(rand.NewPCG(uint64(first), 7))
+		for i := range count {
+			job := s.job(a)
+			job.ID = fmt.Sprintf("req-%06d", first+i)
+			at := w.now + a.span("over", 0)*Micros(i)/Micros(count)
+			w.At(at, func() { w.Submit(job) })
+			if every > 0 && i%every == 0 {
+				s.line(at+Micros(rng.Int64N(int64(a.span("within", 20)))), args{words: []string{"cancel", job.ID}})
+			}
+		}
+	}
+}
+
+// doResubmit: as it was, or with others: that fit nowhere, or are less; or without a field.
+func (s *script) doResubmit(a args) func() {
+	w := s.w
+	return func() {
+		first, _ := strconv.Atoi(strings.TrimPrefix(a.word(0), "req-")) // checked when it was submitted
+		for i := range int(a.num("count", 1)) {
+			u := w.Users[fmt.Sprintf("req-%06d", first+i)]
+			if u == nil {
+				panic("resubmit: nobody submitted " + a.word(0))
+			}
+			other := *u.job
+			switch {
+			case a.has("malformed"):
+				u.submitAs(u.malformed)
+				continue
+			case a.has("other"):
+				other.CPUs = 1e6
+			case a.has("less"):
+				other.Tasks = 1
+			}
+			u.submitAs(func(c *controller.Core, reply func(controller.Answer)) { c.Submit(&other, reply) })
+		}
+	}
+}
+
+// doPoll: at a node, ready or not, or where the load balancer chooses.
+func (s *script) doPoll(a args) func() {
+	w := s.w
+	return func() {
+		u := w.Users[a.word(0)]
+		if u == nil {
+			u = &User{w: w, job: &wire.Job{ID: a.word(0)}}
+		}
+		u.at = a.pairs["at"]
+		u.Poll(nil)
+		u.at = ""
+	}
+}
+
+// doCancel: a user cancels a job.
+func (s *script) doCancel(a args) func() {
+	w := s.w
+	return func() {
+		if w.Users[a.word(0)] == nil {
+			panic("cancel: nobody submitted " + a.word(0))
+		}
+		w.Users[a.word(0)].Cancel()
+	}
+}
+
+// doCloseLooks: see looks.
+func (s *script) doCloseLooks(a args) func() {
+	w := s.w
+	return func() {
+		w.looks = &looks{a.num("cancels", 0), rand.New(rand.NewPCG(uint64(w.now), 6))}
+		w.After(a.span("for", 1e6), func() { w.looks = nil })
+	}
+}
