--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -49,32 +49,18 @@
 func (c *Core) OnReport(r *wire.Report) ReportAnswer {
 	now := c.env.Now()
 	if !c.lead.Leading() {
-		c.strayOf(r.Machine).at = now
-		if c.lead.Leader() == "" {
-			return ReportAnswer{Code: 503}
-		}
-		return ReportAnswer{Code: 421, Leader: c.lead.Leader()}
+		return c.notLeading(r, now)
 	}
 	if r.Token > c.term {
 		c.lead.Yield()
 		return ReportAnswer{Code: 503}
 	}
-	if !c.keeping() {
-		return ReportAnswer{Code: 503}
-	}
-	renew := ReportAnswer{Code: 200, Body: wire.ReportAnswer{Token: c.term, Commands: []wire.Command{}}}
-	if c.released[r.Machine] {
+	if !c.keeping() || c.released[r.Machine] {
 		return ReportAnswer{Code: 503}
 	}
-	m := c.machines[r.Machine]
+	m := c.reporting(r, now)
 	if m == nil {
-		m = c.addMachine(r.Machine, r.Addr, r.Type, r.Zone, r.Spot, now)
-		if m == nil {
-			return ReportAnswer{Code: 503}
-		}
-		c.sortMachines()
-		c.saveMachine(m, nil)
-		slog.Info("machine appeared", "machine", m.ID)
+		return ReportAnswer{Code: 503}
 	}
 	// A worker's token never falls: what is under an older one than it has acknowledged was
 	// written before, whatever its numbers say.
@@ -82,15 +68,7 @@
 		c.older(m, r, now)
 		return ReportAnswer{Code: 503}
 	}
-	if c.cutOff(now) && now-m.Away > c.cfg.WorkerLease()/2 && m.Answered > m.Away {
-		// While it is answered here the worker stays, and its successor can't use it. It
-		// looks for one; if there is none, it is back and kept. Whoever was not kept since
-		// is not sent away again: where the others can't be reached either, the search
-		// takes seconds for each of them, and the lease would end over it.
-		m.Away = now
-		return ReportAnswer{Code: 503}
-	}
-	if r.Session == m.Session && c.holdsCancelled(m, now) {
+	if c.sendAway(m, now) || r.Session == m.Session && c.holdsCancelled(m, now) {
 		return ReportAnswer{Code: 503}
 	}
 	if !c.lead.Authority() {
@@ -98,6 +76,7 @@
 	}
 	// Only what is new shows that workers reach this node; late copies don't.
 	c.lastReport, m.Mute = now, 0
+	renew := ReportAnswer{Code: 200, Body: wire.ReportAnswer{Token: c.term}}
 	if r.Session == m.Session && r.Seq < m.OrderSeq {
 		// Written before the worker executed an order whose answer is known: what
 		// it lacks may have started since. It only shows that the worker lives.
@@ -105,6 +84,63 @@
 		renew.Body.Commands = c.cancelledOn(m, r)
 		return renew
 	}
+	c.takeNews(m, r, now)
+	if r.Token == c.term {
+		c.acknowledged(m)
+		renew.Body.Commands = c.digest(m, r, now)
+	} else {
+		if m.Greeted {
+			c.suspect(m, oneway.TokenLost, now)
+		}
+		m.Greeted = true
+		renew.Body.Commands = c.cancelledOn(m, r)
+	}
+	m.Answered = now
+	return renew
+}
+
+// notLeading sends a worker to the leader, if one is known.
+func (c *Core) notLeading(r *wire.Report, now Micros) ReportAnswer {
+	c.strayOf(r.Machine).at = now
+	if c.lead.Leader() == "" {
+		return ReportAnswer{Code: 503}
+	}
+	return ReportAnswer{Code: 421, Leader: c.lead.Leader()}
+}
+
+// reporting is the machine that reports, entered if it was not known; nil if its type is
+// unknown too.
+func (c *Core) reporting(r *wire.Report, now Micros) *sched.Machine {
+	if m := c.machines[r.Machine]; m != nil {
+		return m
+	}
+	m := c.addMachine(r.Machine, r.Addr, r.Type, r.Zone, r.Spot, now)
+	if m == nil {
+		return nil
+	}
+	c.sortMachines()
+	c.saveMachine(m, nil)
+	slog.Info("machine appeared", "machine", m.ID)
+	return m
+}
+
+// sendAway reports whether a worker is to look for a successor of this leader, which is cut
+// off from the state service and its peers.
+//
+// While it is answered here the worker stays, and its successor can't use it. It looks for
+// one; if there is none, it is back and kept. Whoever was not kept since is not sent away
+// again: where the others can't be reached either, the search takes seconds for each of
+// them, and the lease would end over it.
+func (c *Core) sendAway(m *sched.Machine, now Micros) bool {
+	if !c.cutOff(now) || now-m.Away <= c.cfg.WorkerLease()/2 || m.Answered <= m.Away {
+		return false
+	}
+	m.Away = now
+	return true
+}
+
+// takeNews takes in what a newer report says of its machine itself.
+func (c *Core) takeNews(m *sched.Machine, r *wire.Report, now Micros) {
 	if !m.Up {
 		m.Up, m.IdleSince = true, now
 		slog.Debug("machine up", "machine", m.ID, "age", (now - m.Since).Seconds())
@@ -112,21 +148,7 @@
 	moved, was, heard := r.Session > m.Session, m.Session, m.Heard
 	m.Session, m.Seq, m.Heard, m.Addr = r.Session, r.Seq, now, r.Addr
 	if moved {
-		if was > 0 && len(m.Places) > 0 {
-			slog.Info("worker began a new session", "machine", m.ID, "session", r.Session, "tasks", len(m.Places),
-				"heard", (now - heard).Seconds(), "answered", (now - m.Answered).Seconds())
-		}
-		if c.renewedInVain(m, now) {
-			c.suspect(m, oneway.SessionLost, now)
-		}
-		m.OrderSeq, m.Unreaped = 0, nil
-		for _, p := range places(m) {
-			// Written before the worker had heard the term that placed it, the report may
-			// be a late copy of a machine that was since started anew.
-			if p.Session < r.Session && r.Token >= p.Attempt>>32 {
-				c.leave(p)
-			}
-		}
+		c.beginSession(m, r, was, heard, now)
 	}
 	if r.Notice == nil {
 		m.Notice = 0 // what brought it was a late copy, or the cloud thought better of it
@@ -138,22 +160,35 @@
 		m.LostOrder = false
 		c.suspect(m, oneway.OrderLost, now)
 	}
-	if r.Token == c.term {
-		if !m.Acked {
-			m.Acked = true
-			m.Downlink.Proof()
-			c.wake()
-		}
-		renew.Body.Commands = c.digest(m, r, now)
-	} else {
-		if m.Greeted {
-			c.suspect(m, oneway.TokenLost, now)
+}
+
+// beginSession takes in that a worker's lease has ended, with all that it ran.
+func (c *Core) beginSession(m *sched.Machine, r *wire.Report, was uint64, heard, now Micros) {
+	if was > 0 && len(m.Places) > 0 {
+		slog.Info("worker began a new session", "machine", m.ID, "session", r.Session, "tasks", len(m.Places),
+			"heard", (now - heard).Seconds(), "answered", (now - m.Answered).Seconds())
+	}
+	if c.renewedInVain(m, now) {
+		c.suspect(m, oneway.SessionLost, now)
+	}
+	m.OrderSeq, m.Unreaped = 0, nil
+	for _, p := range places(m) {
+		// Written before the worker had heard the term that placed it, the report may
+		// be a late copy of a machine that was since started anew.
+		if p.Session < r.Session && r.Token >= p.Attempt>>32 {
+			c.leave(p)
 		}
-		m.Greeted = true
-		renew.Body.Commands = c.cancelledOn(m, r)
 	}
-	m.Answered = now
-	return renew
+}
+
+// acknowledged notes that a worker has taken in this leader's token.
+func (c *Core) acknowledged(m *sched.Machine) {
+	if m.Acked {
+		return
+	}
+	m.Acked = true
+	m.Downlink.Proof()
+	c.wake()
 }
 
 // stopNow ends a task without time to save.
