--- a/internal/admit/account.go
+++ b/internal/admit/account.go
@@ -29,9 +29,9 @@
 	Within Micros // of an objective: a start or an end is wanted within this time
 }
 
-// Book numbers the accounts of a deployment. All nodes have the same settings, so
-// all have the same numbers; Digest tells a book made from others apart.
-type Book struct {
+// AccountIndex numbers the accounts of a deployment. All nodes have the same settings, so
+// all have the same numbers; Digest tells an index made from others apart.
+type AccountIndex struct {
 	Accounts []Account
 	Widest   []Micros // by account: the widest aim of its class, or 0
 	Digest   uint32
@@ -39,10 +39,10 @@
 	first    map[string]int // the account of a team's other classes
 }
 
-// NewBook makes the accounts of the teams, which are not empty, and of the classes
+// NewAccountIndex makes the accounts of the teams, which are not empty, and of the classes
 // that the aims name.
-func NewBook(teams []string, aims []Aim) *Book {
-	b := &Book{index: map[Account]int{}, first: map[string]int{}}
+func NewAccountIndex(teams []string, aims []Aim) *AccountIndex {
+	b := &AccountIndex{index: map[Account]int{}, first: map[string]int{}}
 	widest := map[string]Micros{}
 	for _, a := range aims {
 		if a.Class != "" {
@@ -69,7 +69,7 @@
 }
 
 // Of numbers the account of a job; -1 if the team is unknown.
-func (b *Book) Of(team, class string) int {
+func (b *AccountIndex) Of(team, class string) int {
 	if i, ok := b.index[Account{team, class}]; ok {
 		return i
 	}
@@ -80,4 +80,4 @@
 }
 
 // Len is how many accounts there are.
-func (b *Book) Len() int { return len(b.Accounts) }
+func (b *AccountIndex) Len() int { return len(b.Accounts) }
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -13,21 +13,21 @@
 	"lilacthread/internal/clock"
 )
 
-func testBook(classes int) *Book {
+func testAccounts(classes int) *AccountIndex {
 	var aims []Aim
 	for i := range classes {
 		aims = append(aims, Aim{fmt.Sprintf("c%02d", i), Micros(100+i) * clock.Second})
 	}
-	return NewBook([]string{"t", "u"}, aims)
+	return NewAccountIndex([]string{"t", "u"}, aims)
 }
 
-// TestBook: users can't make accounts, and books of other settings differ.
-func TestBook(t *testing.T) {
-	b := testBook(3)
+// TestAccountIndex: users cannot make accounts, and those of other settings differ.
+func TestAccountIndex(t *testing.T) {
+	b := testAccounts(3)
 	if b.Len() != 8 || b.Of("t", "made up") != b.Of("t", "made up too") || b.Of("nobody", "c00") != -1 || b.Of("u", "c01") < 0 {
 		t.Errorf("%+v", b.Accounts)
 	}
-	if b.Digest == testBook(4).Digest || b.Digest != testBook(3).Digest {
+	if b.Digest == testAccounts(4).Digest || b.Digest != testAccounts(3).Digest {
 		t.Error("digest")
 	}
 }
@@ -35,22 +35,22 @@
 // world is nodes that ask the leader of the moment for tables over a bad network, each
 // with a clock of its own, and what they believe they may spend.
 type world struct {
-	book    *Book
-	limits  Limits
-	now     Micros // true time
-	skew    []int64
-	purses  []*Purse
-	giver   *Giver
-	leader  int
-	term    uint64
-	flying  []reply
-	highest []*Table // by node, the newest table taken
+	accounts   *AccountIndex
+	limits     Limits
+	now        Micros // true time
+	skew       []int64
+	allowances []*Allowance
+	allocator  *Allocator
+	leader     int
+	term       uint64
+	flying     []reply
+	highest    []*Table // by node, the newest table taken
 }
 
 // reply is an answer under way.
 type reply struct {
 	to    int
-	life  *Purse
+	life  *Allowance
 	table *Table
 	asked Micros
 }
@@ -59,32 +59,32 @@
 func (w *world) local(node int) Micros { return w.now + w.now*Micros(w.skew[node])/10_000 }
 
 func newWorld(nodes, classes int, skew []int64) *world {
-	w := &world{book: testBook(classes), limits: LimitsOf(100, nodes), skew: skew, now: clock.Second, highest: make([]*Table, nodes)}
+	w := &world{accounts: testAccounts(classes), limits: LimitsOf(100, nodes), skew: skew, now: clock.Second, highest: make([]*Table, nodes)}
 	for range nodes {
-		w.purses = append(w.purses, NewPurse(w.book, w.limits))
+		w.allowances = append(w.allowances, NewAllowance(w.accounts, w.limits))
 	}
 	w.elect(0)
-	w.giver.from = 0 // nobody led before
+	w.allocator.from = 0 // nobody led before
 	return w
 }
 
 func (w *world) elect(node int) {
 	w.term++
 	w.leader = node
-	w.giver = NewGiver(w.book, fmt.Sprint(node), w.term, w.local(node), w.limits)
+	w.allocator = NewAllocator(w.accounts, fmt.Sprint(node), w.term, w.local(node), w.limits)
 }
 
 // ask has a node send its notice and the leader answer; the answer is under way.
 func (w *world) ask(node int) {
 	now := w.local(w.leader)
-	w.giver.Hear(fmt.Sprint(node), w.purses[node].Notice(func(int) int { return 0 }, w.local(node)), now)
-	w.flying = append(w.flying, reply{node, w.purses[node], w.giver.Give(fmt.Sprint(node), now), w.local(node)})
+	w.allocator.Hear(fmt.Sprint(node), w.allowances[node].Notice(func(int) int { return 0 }, w.local(node)), now)
+	w.flying = append(w.flying, reply{node, w.allowances[node], w.allocator.Give(fmt.Sprint(node), now), w.local(node)})
 }
 
 func (w *world) deliver(i int) error {
 	r := w.flying[i]
 	w.flying = slices.Delete(w.flying, i, i+1)
-	p := w.purses[r.to]
+	p := w.allowances[r.to]
 	if p != r.life { // restarted meanwhile
 		return nil
 	}
@@ -99,10 +99,10 @@
 
 // check: parts in use, with the leader's own claim, never exceed an account or the pool.
 func (w *world) check() error {
-	spent := make([]int64, w.book.Len())
+	spent := make([]int64, w.accounts.Len())
 	pool := int64(0)
 	var same map[[2]uint64][]Entry
-	for n, p := range w.purses {
+	for n, p := range w.allowances {
 		t := p.Table(w.local(n))
 		if t == nil {
 			continue
@@ -136,10 +136,10 @@
 		return fmt.Errorf("parts of %d in use, the pool is %d", pool, w.limits.Pool)
 	}
 	// What the leader would make itself, it does on top of all others.
-	if out := w.giver.Out(w.local(w.leader)); pool > out {
+	if out := w.allocator.Out(w.local(w.leader)); pool > out {
 		return fmt.Errorf("parts of %d in use, the leader counts on %d", pool, out)
 	}
-	most := w.limits.Pool + w.limits.Base*int64(len(w.purses))
+	most := w.limits.Pool + w.limits.Base*int64(len(w.allowances))
 	for a, s := range spent {
 		if s > most {
 			return fmt.Errorf("account %d: %d of %d in use", a, s, most)
@@ -160,7 +160,7 @@
 			case 0, 1:
 				w.now += Micros(rapid.IntRange(1, 2_500_000).Draw(t, "dt"))
 			case 2:
-				w.giver.Next(w.local(w.leader), false, nil, nil)
+				w.allocator.Next(w.local(w.leader), false, nil, nil)
 			case 3, 4, 5:
 				w.ask(node)
 			case 6, 7:
@@ -170,10 +170,10 @@
 					}
 				}
 			case 8:
-				w.purses[node].Saw(rapid.IntRange(0, w.book.Len()-1).Draw(t, "account"), rapid.IntRange(1, 500).Draw(t, "load"), w.local(node))
+				w.allowances[node].Saw(rapid.IntRange(0, w.accounts.Len()-1).Draw(t, "account"), rapid.IntRange(1, 500).Draw(t, "load"), w.local(node))
 			case 9:
 				if rapid.Bool().Draw(t, "restart") {
-					w.purses[node] = NewPurse(w.book, w.limits)
+					w.allowances[node] = NewAllowance(w.accounts, w.limits)
 					w.highest[node] = nil
 				} else {
 					w.elect(node)
@@ -237,9 +237,9 @@
 	switch n {
 	case 0: // a second with load at two nodes, and the table of it
 		w.now += clock.Second
-		w.purses[1].Saw(1, 300, w.local(1))
-		w.purses[2].Saw(1, 300, w.local(2))
-		w.giver.Next(w.local(w.leader), false, nil, nil)
+		w.allowances[1].Saw(1, 300, w.local(1))
+		w.allowances[2].Saw(1, 300, w.local(2))
+		w.allocator.Next(w.local(w.leader), false, nil, nil)
 	case 1, 2:
 		w.ask(n)
 	case 3, 4: // the oldest or the newest answer arrives
@@ -259,22 +259,22 @@
 		}
 		w.elect(n - 6 + 1)
 	case 8:
-		w.purses[1], w.highest[1] = NewPurse(w.book, w.limits), nil
+		w.allowances[1], w.highest[1] = NewAllowance(w.accounts, w.limits), nil
 	}
 	return true
 }
 
 // key tells states apart: times are relative, so that equal states meet.
 func (w *world) key() string {
-	s := fmt.Sprint(w.term, w.leader, w.giver.number, w.giver.from-w.local(w.leader) > 0, w.now)
-	for n, p := range w.purses {
+	s := fmt.Sprint(w.term, w.leader, w.allocator.number, w.allocator.from-w.local(w.leader) > 0, w.now)
+	for n, p := range w.allowances {
 		if t := p.Table(w.local(n)); t != nil {
 			s += fmt.Sprint("|", t.Term, t.Number, t.Accounts[1].Part, p.until-w.local(n))
 		}
 		s += fmt.Sprint(";", p.seen[1].rate > 1)
 	}
 	for _, r := range w.flying {
-		s += fmt.Sprint("/", r.to, r.life == w.purses[r.to], r.asked-w.now)
+		s += fmt.Sprint("/", r.to, r.life == w.allowances[r.to], r.asked-w.now)
 		if r.table != nil {
 			s += fmt.Sprint(r.table.Term, r.table.Number, r.table.Accounts[1].Part)
 		}
@@ -288,8 +288,8 @@
 	for _, skew := range [][]int64{{5, -5, 0}, {-5, 5, 0}, {5, -5, 5}} {
 		for late := Micros(0); late < 4*clock.Second; late += 100 * clock.Millisecond {
 			w := newWorld(3, 1, skew)
-			load := func(node int) { w.purses[node].Saw(1, 500, w.local(node)) }
-			next := func() { w.giver.Next(w.local(0), false, nil, nil) }
+			load := func(node int) { w.allowances[node].Saw(1, 500, w.local(node)) }
+			next := func() { w.allocator.Next(w.local(0), false, nil, nil) }
 			load(1)
 			w.ask(1) // the leader learns of the load
 			w.flying = nil
@@ -302,7 +302,7 @@
 				t.Fatal(err)
 			}
 			for end := w.now + 4*clock.Second; w.now < end; w.now += clock.Millisecond {
-				if w.giver.Out(w.local(0)) > 0 {
+				if w.allocator.Out(w.local(0)) > 0 {
 					continue
 				}
 				load(2)
@@ -331,14 +331,14 @@
 		w.now += clock.Second
 		for _, n := range busy {
 			for range 100 {
-				w.purses[n].Saw(1, 1, w.now)
+				w.allowances[n].Saw(1, 1, w.now)
 			}
 		}
-		for n := range w.purses {
+		for n := range w.allowances {
 			w.ask(n)
 		}
-		w.giver.Next(w.now, false, nil, nil)
-		for n := range w.purses {
+		w.allocator.Next(w.now, false, nil, nil)
+		for n := range w.allowances {
 			w.ask(n)
 		}
 		for len(w.flying) > 0 {
@@ -351,17 +351,17 @@
 	for range 6 {
 		round(1)
 	}
-	if r := w.purses[1].Rate(w.now); r < all-0.1 {
+	if r := w.allowances[1].Rate(w.now); r < all-0.1 {
 		t.Errorf("alone with demand: %v of %v", r, all)
 	}
 	for range 20 {
 		round(2)
 	}
-	if r, s := w.purses[1].Rate(w.now), w.purses[2].Rate(w.now); r > base+1 || s < all-1.5 {
+	if r, s := w.allowances[1].Rate(w.now), w.allowances[2].Rate(w.now); r > base+1 || s < all-1.5 {
 		t.Errorf("after the demand moved: %v and %v of %v", r, s, all)
 	}
 	w.now += 4 * clock.Second
-	if r := w.purses[2].Rate(w.now); r != base {
+	if r := w.allowances[2].Rate(w.now); r != base {
 		t.Errorf("without a valid table: %v, not the base %v", r, base)
 	}
 }
@@ -526,15 +526,15 @@
 // leaves others get, and the shares are those of the whole room.
 func TestShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		book := testBook(rapid.IntRange(1, 4).Draw(t, "classes"))
+		accounts := testAccounts(rapid.IntRange(1, 4).Draw(t, "classes"))
 		teams := []Team{{"t", rapid.Float64Range(0, 500).Draw(t, "guarantee"), 0}, {"u", 100, rapid.SampledFrom([]float64{0, 300}).Draw(t, "limit")}}
-		s := NewShares(book, teams, Rules{On: true, Begins: clock.Second})
-		demands := make([]Demand, book.Len())
+		s := NewShares(accounts, teams, Rules{On: true, Begins: clock.Second})
+		demands := make([]Demand, accounts.Len())
 		wants, sum := make([]float64, 2), 0.0
 		for i := range demands {
 			demands[i] = Demand{Held: rapid.Float64Range(0, 50).Draw(t, "held"), Waiting: float64(rapid.IntRange(0, 3).Draw(t, "some")) * 400}
 			for j, team := range teams {
-				if book.Accounts[i].Team == team.Name {
+				if accounts.Accounts[i].Team == team.Name {
 					wants[j] += demands[i].Held + demands[i].Waiting
 				}
 			}
@@ -658,9 +658,9 @@
 // TestMode: overload begins and ends late, so that the order does not flap, and not
 // while there are machines to be had.
 func TestMode(t *testing.T) {
-	book := testBook(1)
-	s := NewShares(book, []Team{{"t", 0, 0}}, Rules{On: true, Begins: 30 * clock.Second})
-	demands := make([]Demand, book.Len())
+	accounts := testAccounts(1)
+	s := NewShares(accounts, []Team{{"t", 0, 0}}, Rules{On: true, Begins: 30 * clock.Second})
+	demands := make([]Demand, accounts.Len())
 	judge := func(at int, waiting float64, room bool) bool {
 		demands[1] = Demand{Held: 100, Waiting: waiting, Work: (100 + waiting) * 50}
 		return s.Judge(Micros(at)*clock.Second, 100, room, demands) != nil
@@ -680,20 +680,20 @@
 
 // TestNotices: a refusal is known to all nodes, bounded, and forgotten.
 func TestNotices(t *testing.T) {
-	book := testBook(1)
-	a, b := NewPurse(book, LimitsOf(100, 2)), NewPurse(book, LimitsOf(100, 2))
+	accounts := testAccounts(1)
+	a, b := NewAllowance(accounts, LimitsOf(100, 2)), NewAllowance(accounts, LimitsOf(100, 2))
 	for i := range 3 * maxMemory {
 		a.Refused(1, 1, fmt.Sprintf("req-%06d", i), 4, clock.Second)
 	}
 	n := a.Notice(func(int) int { return 7 }, clock.Second)
-	if len(n.Told) != maxTold || len(a.told.at) > maxMemory || n.Accounts[1].Queued != 7 || n.Accounts[1].Refused == 0 {
-		t.Errorf("%d told, %d remembered, %+v", len(n.Told), len(a.told.at), n.Accounts[1])
+	if len(n.Refusals) != maxTold || len(a.told.at) > maxMemory || n.Accounts[1].Queued != 7 || n.Accounts[1].Refused == 0 {
+		t.Errorf("%d told, %d remembered, %+v", len(n.Refusals), len(a.told.at), n.Accounts[1])
 	}
-	b.Told(n, 2*clock.Second)
+	b.HearRefusals(n, 2*clock.Second)
 	if !b.Returns("req-000000", 3*clock.Second) || b.Returns("req-000000", 70*clock.Second) || b.Returns("req-999999", 3*clock.Second) {
 		t.Error("what a peer refused")
 	}
-	b.Told(&Notice{Digest: 1, Told: []Told{{Hash: Hash("req-999999")}}}, 2*clock.Second)
+	b.HearRefusals(&Notice{Digest: 1, Refusals: []Refusal{{Hash: Hash("req-999999")}}}, 2*clock.Second)
 	if b.Returns("req-999999", 3*clock.Second) {
 		t.Error("a notice of other settings was taken")
 	}
@@ -702,14 +702,14 @@
 // BenchmarkDecision is the cost of judging one submission among 1,000 accounts; a
 // refusal allocates nothing.
 func BenchmarkDecision(b *testing.B) {
-	book := testBook(499)
-	p := NewPurse(book, LimitsOf(100, 3))
-	t := &Table{Term: 1, Number: 1, Digest: book.Digest, Valid: valid, Accounts: make([]Entry, book.Len())}
+	accounts := testAccounts(499)
+	p := NewAllowance(accounts, LimitsOf(100, 3))
+	t := &Table{Term: 1, Number: 1, Digest: accounts.Digest, Valid: valid, Accounts: make([]Entry, accounts.Len())}
 	for i := range t.Accounts {
 		t.Accounts[i].Slots = MaxSlots
 	}
 	p.Put(t, 0)
-	q := NewQueue[int](book.Len(), Bounds{Count: 400, Bytes: 1 << 20})
+	q := NewQueue[int](accounts.Len(), Bounds{Count: 400, Bytes: 1 << 20})
 	for i := range 300 {
 		q.Push(i*3, Newcomer, 1, 100, 0, i)
 	}
@@ -723,7 +723,7 @@
 	b.ReportAllocs()
 	for i := range b.N {
 		job := jobs[i%len(jobs)]
-		account := book.Of("t", "c250")
+		account := accounts.Of("t", "c250")
 		if turn := p.Table(1).Turn(account, job); turn > 0 || q.Ahead(account, Newcomer, 1) > 10 {
 			p.Refused(account, 1, job, 4, 1)
 		}
--- a/internal/admit/purse.go
+++ b/internal/admit/allowance.go
@@ -7,20 +7,20 @@
 	"lilacthread/internal/clock"
 )
 
-// Purse is what a node that takes submissions may spend of the state service's
+// Allowance is what a node that takes submissions may spend of the state service's
 // changes, and what it saw of them. Its base is always its own; its part of the pool
 // is its own while its table is valid. Bases and pool together stay within the state
 // service's limit, so a node that is cut off from the leader needs nobody's leave to
 // fall back to its base.
-type Purse struct {
-	book   *Book
-	limits Limits
-	table  *Table
-	until  Micros // the table's end on this node's clock
-	seen   []arrival
-	told   memory // jobs that were refused, here or at a peer
-	fresh  []Told // refused here since the last notice
-	counts []Counts
+type Allowance struct {
+	accounts *AccountIndex
+	limits   Limits
+	table    *Table
+	until    Micros // the table's end on this node's clock
+	seen     []arrival
+	told     memory    // jobs that were refused, here or at a peer
+	fresh    []Refusal // refused here since the last notice
+	counts   []Counts
 }
 
 // arrival smooths what an account's submissions ask for.
@@ -35,19 +35,19 @@
 	Taken, Refused, Known uint64
 }
 
-// NewPurse makes the purse of a node.
-func NewPurse(book *Book, limits Limits) *Purse {
-	return &Purse{book: book, limits: limits, seen: make([]arrival, book.Len()), counts: make([]Counts, book.Len()),
+// NewAllowance makes the allowance of a node.
+func NewAllowance(accounts *AccountIndex, limits Limits) *Allowance {
+	return &Allowance{accounts: accounts, limits: limits, seen: make([]arrival, accounts.Len()), counts: make([]Counts, accounts.Len()),
 		told: memory{at: map[uint32]*remembered{}}}
 }
 
 // SetLimits follows the state service's limits.
-func (p *Purse) SetLimits(l Limits) { p.limits = l }
+func (p *Allowance) SetLimits(l Limits) { p.limits = l }
 
 // Put takes a table over that was asked for at the given time. A table of an older
 // term or number, or made from other settings, changes nothing.
-func (p *Purse) Put(t *Table, asked Micros) bool {
-	if t == nil || t.Digest != p.book.Digest || len(t.Accounts) != p.book.Len() || t.Valid <= 0 || t.Valid > valid {
+func (p *Allowance) Put(t *Table, asked Micros) bool {
+	if t == nil || t.Digest != p.accounts.Digest || len(t.Accounts) != p.accounts.Len() || t.Valid <= 0 || t.Valid > valid {
 		return false
 	}
 	if !t.Newer(p.table) {
@@ -58,7 +58,7 @@
 }
 
 // Table is the valid table, or nil.
-func (p *Purse) Table(now Micros) *Table {
+func (p *Allowance) Table(now Micros) *Table {
 	if p.table == nil || now >= p.until {
 		return nil
 	}
@@ -67,7 +67,7 @@
 
 // WasOver reports whether the machines were overloaded when this node last heard of
 // it, not long ago: an election takes longer than a table is valid.
-func (p *Purse) WasOver(now Micros) bool {
+func (p *Allowance) WasOver(now Micros) bool {
 	return p.table != nil && p.table.Over && now < p.until+overLife
 }
 
@@ -75,7 +75,7 @@
 const overLife = 15 * clock.Second
 
 // Rate is the changes a second that this node may spend on submissions.
-func (p *Purse) Rate(now Micros) float64 {
+func (p *Allowance) Rate(now Micros) float64 {
 	rate := p.limits.Base
 	if t := p.Table(now); t != nil {
 		part := int64(0)
@@ -98,7 +98,7 @@
 }
 
 // Saw notes a submission that asks for so many changes.
-func (p *Purse) Saw(account, changes int, now Micros) {
+func (p *Allowance) Saw(account, changes int, now Micros) {
 	if account < 0 {
 		return
 	}
@@ -108,7 +108,7 @@
 }
 
 // Took counts a submission that was accepted, or was known.
-func (p *Purse) Took(account int, known bool) {
+func (p *Allowance) Took(account int, known bool) {
 	switch {
 	case account < 0:
 	case known:
@@ -119,7 +119,7 @@
 }
 
 // Refused notes a submission that was told to come back.
-func (p *Purse) Refused(account, changes int, job string, cpus float64, now Micros) {
+func (p *Allowance) Refused(account, changes int, job string, cpus float64, now Micros) {
 	if account < 0 {
 		return
 	}
@@ -127,7 +127,7 @@
 	a.fade(now)
 	a.refused += float64(changes)
 	p.counts[account].Refused++
-	t := Told{Hash(job), uint32(account), clip(int64(math.Ceil(min(cpus, math.MaxInt32))))}
+	t := Refusal{Hash(job), uint32(account), clip(int64(math.Ceil(min(cpus, math.MaxInt32))))}
 	if p.told.add(t, now) && len(p.fresh) < maxTold {
 		p.fresh = append(p.fresh, t)
 	}
@@ -135,13 +135,13 @@
 
 // Returns reports whether a job was refused before, here or at a peer: it goes before
 // a newcomer of its account.
-func (p *Purse) Returns(job string, now Micros) bool {
+func (p *Allowance) Returns(job string, now Micros) bool {
 	r, ok := p.told.at[Hash(job)]
 	return ok && now-r.at < toldLife
 }
 
 // Accepted notes that a job, refused before or not, is accepted.
-func (p *Purse) Accepted(job string) {
+func (p *Allowance) Accepted(job string) {
 	if r := p.told.at[Hash(job)]; r != nil {
 		r.expected = false
 	}
@@ -150,8 +150,8 @@
 // Expected is what the jobs of each account that were refused of late, here or at a peer,
 // will ask for when they come back, in CPUs. Machines take longer to come than the state
 // service to accept a burst: they may be rented for it meanwhile.
-func (p *Purse) Expected(now Micros) []float64 {
-	sums := make([]float64, p.book.Len())
+func (p *Allowance) Expected(now Micros) []float64 {
+	sums := make([]float64, p.accounts.Len())
 	for _, h := range p.told.order {
 		if r := p.told.at[h]; r.expected && now-r.at < expectedLife && int(r.account) < len(sums) {
 			sums[r.account] += float64(r.cpus)
@@ -164,12 +164,12 @@
 // than MaxSlots seconds on.
 const expectedLife = (MaxSlots + 4) * clock.Second
 
-// Told takes in whom a peer refused.
-func (p *Purse) Told(n *Notice, now Micros) {
-	if n == nil || n.Digest != p.book.Digest {
+// HearRefusals takes in whom a peer refused.
+func (p *Allowance) HearRefusals(n *Notice, now Micros) {
+	if n == nil || n.Digest != p.accounts.Digest {
 		return
 	}
-	for _, t := range n.Told {
+	for _, t := range n.Refusals {
 		p.told.add(t, now)
 	}
 }
@@ -178,8 +178,8 @@
 const maxTold = 512
 
 // Notice is what this node tells its peers, with what waits in its queue.
-func (p *Purse) Notice(queued func(account int) int, now Micros) *Notice {
-	n := &Notice{Digest: p.book.Digest, Accounts: make([]Arrivals, p.book.Len()), Told: p.fresh}
+func (p *Allowance) Notice(queued func(account int) int, now Micros) *Notice {
+	n := &Notice{Digest: p.accounts.Digest, Accounts: make([]Arrivals, p.accounts.Len()), Refusals: p.fresh}
 	p.fresh = nil
 	for i := range n.Accounts {
 		a := &p.seen[i]
@@ -190,7 +190,7 @@
 }
 
 // Counts gives an account's counters.
-func (p *Purse) Counts(account int) Counts { return p.counts[account] }
+func (p *Allowance) Counts(account int) Counts { return p.counts[account] }
 
 // memory holds hashes of jobs for a while, a bounded number of them.
 type memory struct {
@@ -211,7 +211,7 @@
 )
 
 // add reports whether the hash is new.
-func (m *memory) add(t Told, now Micros) bool {
+func (m *memory) add(t Refusal, now Micros) bool {
 	if _, ok := m.at[t.Hash]; ok {
 		return false
 	}
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -10,11 +10,11 @@
 // Shares settles when there is more to do than the machines can take, and how much of
 // them each team is due then, by its guarantee. Within a team Served says who goes first.
 type Shares struct {
-	book  *Book
-	teams []Team
-	rules Rules
-	Over  bool   // overloaded now
-	since Micros // since when the other mode is called for; clock.Forever while it is not
+	accounts *AccountIndex
+	teams    []Team
+	rules    Rules
+	Over     bool   // overloaded now
+	since    Micros // since when the other mode is called for; clock.Forever while it is not
 }
 
 // Team is what the settings say of one.
@@ -34,9 +34,9 @@
 }
 
 // Floors are the parts of their jobs that the accounts are to be served, in turn.
-func (r Rules) Floors(book *Book) []float64 {
-	floors := make([]float64, book.Len())
-	for i, a := range book.Accounts {
+func (r Rules) Floors(accounts *AccountIndex) []float64 {
+	floors := make([]float64, accounts.Len())
+	for i, a := range accounts.Accounts {
 		floors[i] = r.Serve
 		if f, ok := r.Serves[a.Class]; ok {
 			floors[i] = f
@@ -53,7 +53,7 @@
 		return s.rules.Begins
 	}
 	least := clock.Forever
-	for a, w := range s.book.Widest {
+	for a, w := range s.accounts.Widest {
 		if w > 0 && demands[a].Held+demands[a].Waiting > 0 {
 			least = min(least, w)
 		}
@@ -71,8 +71,8 @@
 )
 
 // NewShares makes the shares of a deployment.
-func NewShares(book *Book, teams []Team, rules Rules) *Shares {
-	return &Shares{book: book, teams: teams, rules: rules, since: clock.Forever}
+func NewShares(accounts *AccountIndex, teams []Team, rules Rules) *Shares {
+	return &Shares{accounts: accounts, teams: teams, rules: rules, since: clock.Forever}
 }
 
 // Demand is what an account's unfinished work, services aside, asks of the machines.
@@ -94,7 +94,7 @@
 // still be rented. It reports nil, and leaves Over false, while the usual order serves
 // everybody.
 func (s *Shares) Judge(now Micros, capacity float64, room bool, demands []Demand) []float64 {
-	if !s.rules.On || len(demands) != s.book.Len() {
+	if !s.rules.On || len(demands) != s.accounts.Len() {
 		s.Over = false
 		return nil
 	}
@@ -127,7 +127,7 @@
 func (s *Shares) divide(capacity float64, demands []Demand) []float64 {
 	asks := make([]quota.Ask, len(s.teams))
 	for t, team := range s.teams {
-		for a, account := range s.book.Accounts {
+		for a, account := range s.accounts.Accounts {
 			if account.Team == team.Name {
 				asks[t].Want += units(demands[a].Held + demands[a].Waiting)
 			}
--- a/internal/admit/table.go
+++ b/internal/admit/table.go
@@ -17,7 +17,7 @@
 // number are alike but for the part of the node that they were given to.
 type Table struct {
 	Term, Number uint64
-	Digest       uint32 // of the book
+	Digest       uint32 // of the account index
 	Valid        Micros // from when the node asked for it
 	Over         bool   // the machines are overloaded
 	Accounts     []Entry
@@ -70,11 +70,11 @@
 type Notice struct {
 	Digest   uint32
 	Accounts []Arrivals
-	Told     []Told // the jobs that it refused since the last notice
+	Refusals []Refusal // the jobs that it refused since the last notice
 }
 
-// Told is a job that was refused: its users were told when to come back.
-type Told struct {
+// Refusal is a job that was refused: its users were told when to come back.
+type Refusal struct {
 	Hash    uint32
 	Account uint32
 	CPUs    uint32 // that it will ask for, by the dominant resource
@@ -108,17 +108,17 @@
 	noticeLife = 5 * clock.Second
 )
 
-// Giver makes a leader's tables and keeps account of the parts that are out.
-type Giver struct {
-	book   *Book
-	self   string
-	term   uint64
-	limits Limits
-	from   Micros // before, parts of an earlier leader may be in use
-	number uint64
-	shared []Entry // of the current number, without parts
-	nodes  map[string]*holder
-	over   bool
+// Allocator makes a leader's tables and keeps account of the parts that are out.
+type Allocator struct {
+	accounts *AccountIndex
+	self     string
+	term     uint64
+	limits   Limits
+	from     Micros // before, parts of an earlier leader may be in use
+	number   uint64
+	shared   []Entry // of the current number, without parts
+	nodes    map[string]*holder
+	over     bool
 }
 
 // holder is a node that parts are given to.
@@ -135,10 +135,10 @@
 	end  Micros
 }
 
-// NewGiver begins a term: parts of earlier terms are waited for. Before the first there
+// NewAllocator begins a term: parts of earlier terms are waited for. Before the first there
 // were none, as terms begin with 1 and are never forgotten.
-func NewGiver(book *Book, self string, term uint64, now Micros, limits Limits) *Giver {
-	g := &Giver{book: book, self: self, term: term, limits: limits, from: now + validMost, nodes: map[string]*holder{}}
+func NewAllocator(accounts *AccountIndex, self string, term uint64, now Micros, limits Limits) *Allocator {
+	g := &Allocator{accounts: accounts, self: self, term: term, limits: limits, from: now + validMost, nodes: map[string]*holder{}}
 	if term <= 1 {
 		g.from = now
 	}
@@ -146,11 +146,11 @@
 }
 
 // SetLimits follows the state service's limits. A lower one holds as parts end.
-func (g *Giver) SetLimits(l Limits) { g.limits = l }
+func (g *Allocator) SetLimits(l Limits) { g.limits = l }
 
 // Hear takes in what a node saw. What was made from other settings is ignored.
-func (g *Giver) Hear(node string, n *Notice, now Micros) {
-	if n == nil || n.Digest != g.book.Digest || len(n.Accounts) != g.book.Len() {
+func (g *Allocator) Hear(node string, n *Notice, now Micros) {
+	if n == nil || n.Digest != g.accounts.Digest || len(n.Accounts) != g.accounts.Len() {
 		return
 	}
 	h := g.nodes[node]
@@ -163,10 +163,10 @@
 
 // Next makes the table of the next second. demands and dues, of the machines, are
 // for those who look at it; dues may be nil.
-func (g *Giver) Next(now Micros, over bool, demands []Demand, dues []Due) {
+func (g *Allocator) Next(now Micros, over bool, demands []Demand, dues []Due) {
 	g.number++
 	g.over = over
-	n := g.book.Len()
+	n := g.accounts.Len()
 	g.shared = make([]Entry, n)
 	asks := make([]quota.Ask, n)
 	backlog := make([]int64, n)
@@ -222,11 +222,11 @@
 // The parts in use never add up to more than an account's rate, nor in all to more
 // than the pool: a part that was given counts until it has surely ended, also where a
 // smaller one was given since, which may be lost on the way.
-func (g *Giver) Give(node string, now Micros) *Table {
+func (g *Allocator) Give(node string, now Micros) *Table {
 	if g.number == 0 {
 		return nil
 	}
-	t := &Table{Term: g.term, Number: g.number, Digest: g.book.Digest, Valid: valid, Over: g.over,
+	t := &Table{Term: g.term, Number: g.number, Digest: g.accounts.Digest, Valid: valid, Over: g.over,
 		Accounts: slices.Clone(g.shared)}
 	h := g.nodes[node]
 	if h == nil || node == g.self || now < g.from {
@@ -244,8 +244,8 @@
 
 // part works out a node's part of each account: what it could use of the rate, as far
 // as others' parts leave it.
-func (g *Giver) part(node string, now Micros) []uint32 {
-	out := make([]uint32, g.book.Len())
+func (g *Allocator) part(node string, now Micros) []uint32 {
+	out := make([]uint32, g.accounts.Len())
 	inUse := int64(0) // of the pool, by others
 	for name, h := range g.nodes {
 		if name != node {
@@ -303,7 +303,7 @@
 }
 
 // Out is what of the pool others may be using: the leader does without it.
-func (g *Giver) Out(now Micros) int64 {
+func (g *Allocator) Out(now Micros) int64 {
 	if now < g.from {
 		return g.limits.Pool
 	}
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -16,8 +16,8 @@
 	"lilacthread/wire/fb"
 )
 
-// book numbers the accounts that the settings give.
-func book(cfg *config.Config) *admit.Book {
+// newAccountIndex numbers the accounts that the settings give.
+func newAccountIndex(cfg *config.Config) *admit.AccountIndex {
 	var teams []string
 	for _, t := range cfg.Params.Teams {
 		teams = append(teams, t.Name)
@@ -26,7 +26,7 @@
 	for _, o := range cfg.Params.Objectives {
 		aims = append(aims, admit.Aim{Class: o.Class, Within: clock.FromSeconds(o.Within)})
 	}
-	return admit.NewBook(teams, aims)
+	return admit.NewAccountIndex(teams, aims)
 }
 
 func admitTeams(cfg *config.Config) []admit.Team {
@@ -59,11 +59,11 @@
 	if !c.pol.Admission.On {
 		return all * c.share()
 	}
-	if c.lead == nil || c.giver == nil || !c.lead.Authority() {
-		return c.purse.Rate(now)
+	if c.lead == nil || c.allocator == nil || !c.lead.Authority() {
+		return c.allowance.Rate(now)
 	}
 	limits := c.submitLimits()
-	rate := all - float64(c.giver.Out(now))/1000
+	rate := all - float64(c.allocator.Out(now))/1000
 	for _, p := range c.peers {
 		if p.admits == fixed {
 			rate -= all * followerShare
@@ -77,16 +77,18 @@
 // electAdmission begins a term. What the last table said of the machines holds on: the
 // cloud's refusals, by which a leader sees an overload begin, are not handed down.
 func (c *Core) electAdmission(now Micros) {
-	c.giver = admit.NewGiver(c.book, c.cfg.Name, c.term, now, c.submitLimits())
-	c.shares = admit.NewShares(c.book, admitTeams(c.cfg), c.pol.Admission)
-	c.shares.Over = c.purse.WasOver(now)
+	c.allocator = admit.NewAllocator(c.accountIndex, c.cfg.Name, c.term, now, c.submitLimits())
+	c.shares = admit.NewShares(c.accountIndex, admitTeams(c.cfg), c.pol.Admission)
+	c.shares.Over = c.allowance.WasOver(now)
 	c.served = c.newServed()
-	c.demands, c.dues = make([]admit.Demand, c.book.Len()), nil
-	c.waits.start, c.waits.served = nil, make([]served, c.book.Len())
+	c.demands, c.dues = make([]admit.Demand, c.accountIndex.Len()), nil
+	c.waits.start, c.waits.served = nil, make([]served, c.accountIndex.Len())
 }
 
 // newServed counts nothing yet.
-func (c *Core) newServed() *admit.Served { return admit.NewServed(c.pol.Admission.Floors(c.book)) }
+func (c *Core) newServed() *admit.Served {
+	return admit.NewServed(c.pol.Admission.Floors(c.accountIndex))
+}
 
 // tendAdmission runs once a second: it gives the notice for the peers and, on the
 // leader, makes the next table. Without admission there is neither.
@@ -94,13 +96,13 @@
 	if !c.pol.Admission.On {
 		return nil
 	}
-	c.purse.SetLimits(c.submitLimits())
-	notice := c.purse.Notice(c.intake.queue.Queued, now)
-	if c.Serving() && c.giver != nil {
-		c.giver.SetLimits(c.submitLimits())
-		c.giver.Hear(c.cfg.Name, notice, now)
-		c.giver.Next(now, c.shares.Over, c.demands, c.dues)
-		c.purse.Put(c.giver.Give(c.cfg.Name, now), now)
+	c.allowance.SetLimits(c.submitLimits())
+	notice := c.allowance.Notice(c.intake.queue.Queued, now)
+	if c.Serving() && c.allocator != nil {
+		c.allocator.SetLimits(c.submitLimits())
+		c.allocator.Hear(c.cfg.Name, notice, now)
+		c.allocator.Next(now, c.shares.Over, c.demands, c.dues)
+		c.allowance.Put(c.allocator.Give(c.cfg.Name, now), now)
 	}
 	c.setWriteShare()
 	return notice
@@ -118,19 +120,19 @@
 	if m.Notice == nil || !c.pol.Admission.On {
 		return nil
 	}
-	c.purse.Told(m.Notice, now)
-	if !c.Serving() || c.giver == nil {
+	c.allowance.HearRefusals(m.Notice, now)
+	if !c.Serving() || c.allocator == nil {
 		return nil
 	}
-	c.giver.Hear(m.Node, m.Notice, now)
-	t := c.giver.Give(m.Node, now)
+	c.allocator.Hear(m.Node, m.Notice, now)
+	t := c.allocator.Give(m.Node, now)
 	c.setWriteShare()
 	return t
 }
 
 // putTable takes a table over that came with the answer to a greeting.
 func (c *Core) putTable(t *admit.Table, asked Micros) {
-	if c.pol.Admission.On && !c.Serving() && c.purse.Put(t, asked) {
+	if c.pol.Admission.On && !c.Serving() && c.allowance.Put(t, asked) {
 		c.setWriteShare()
 	}
 }
@@ -138,7 +140,7 @@
 // rank is a submission's place among those of its account.
 func (c *Core) rank(job *wire.Job) admit.Rank {
 	switch {
-	case c.purse.Returns(job.ID, c.env.Now()):
+	case c.allowance.Returns(job.ID, c.env.Now()):
 		return admit.Returning
 	case len(job.Awaits) > 0:
 		return admit.Chained
@@ -149,7 +151,7 @@
 // turn is in how many seconds the table has a submission come again, alike on all nodes;
 // 0 if now. A later stage of a pipeline that was accepted is not made to wait by it.
 func (c *Core) turn(job *wire.Job, account int, now Micros) int {
-	if t := c.purse.Table(now); c.pol.Admission.On && t != nil && len(job.Awaits) == 0 {
+	if t := c.allowance.Table(now); c.pol.Admission.On && t != nil && len(job.Awaits) == 0 {
 		return t.Turn(account, job.ID)
 	}
 	return 0
@@ -181,15 +183,15 @@
 func (c *Core) noteRefused(account int, job *wire.Job) {
 	j := &sched.Job{Spec: job}
 	j.Measure(c.catalog)
-	c.purse.Refused(account, 1, job.ID, j.Whole(), c.env.Now())
+	c.allowance.Refused(account, 1, job.ID, j.Whole(), c.env.Now())
 }
 
 // expected is what refused jobs will ask for when they come back, each account's like the
 // job of its class that came last.
 func (c *Core) expected(now Micros) []sched.Unplaced {
 	var out []sched.Unplaced
-	for a, cpus := range c.purse.Expected(now) {
-		if arr := c.arrivals[c.book.Accounts[a].Class]; cpus > 0 && arr != nil && arr.last != nil {
+	for a, cpus := range c.allowance.Expected(now) {
+		if arr := c.arrivals[c.accountIndex.Accounts[a].Class]; cpus > 0 && arr != nil && arr.last != nil {
 			out = append(out, sched.Unplaced{Job: arr.last, Count: int(math.Ceil(cpus / arr.last.Size()))})
 		}
 	}
@@ -205,7 +207,7 @@
 		reply(Answer{Code: 429, RetryAfter: wait})
 	}
 	if a, ok := c.remembered(job.ID); ok {
-		c.purse.Took(account, true)
+		c.allowance.Took(account, true)
 		reply(a)
 		return
 	}
@@ -221,7 +223,7 @@
 			refuse()
 			return
 		}
-		c.purse.Took(account, true)
+		c.allowance.Took(account, true)
 		reply(answerOf(r))
 	})
 }
@@ -246,8 +248,8 @@
 
 // took notes a submission that was answered.
 func (c *Core) took(s *submission, known bool) {
-	c.purse.Took(s.account, known)
-	c.waits.note(&c.waits.accept, s.account, c.book.Len(), c.env.Now()-s.since)
+	c.allowance.Took(s.account, known)
+	c.waits.note(&c.waits.accept, s.account, c.accountIndex.Len(), c.env.Now()-s.since)
 }
 
 // waits are what users and jobs waited, by account.
@@ -284,14 +286,14 @@
 	}
 	s := &c.waits.served[a]
 	s.jobs++
-	widest := c.book.Widest[a]
+	widest := c.accountIndex.Widest[a]
 	good := widest == 0 || j.Over-j.Ready <= widest
 	if good {
 		s.inTime++
 	}
 	c.served.Over(a, good && (j.StartBy == 0 || j.Began <= j.StartBy), c.env.Now())
 	if j.Began > 0 {
-		c.waits.note(&c.waits.start, a, c.book.Len(), j.Began-j.Ready)
+		c.waits.note(&c.waits.start, a, c.accountIndex.Len(), j.Began-j.Ready)
 	}
 }
 
@@ -300,12 +302,12 @@
 	now := c.env.Now()
 	out := &wire.Admission{Node: c.cfg.Name, On: c.pol.Admission.On, Leads: c.Serving(), Rate: c.writes.Rate(),
 		Waiting: c.intake.queue.Len(), Oldest: (now - c.intake.queue.Oldest(now)).Seconds()}
-	t := c.purse.Table(now)
+	t := c.allowance.Table(now)
 	if t != nil {
 		out.Term, out.Number, out.Over = t.Term, t.Number, t.Over
 	}
-	for i, account := range c.book.Accounts {
-		n := c.purse.Counts(i)
+	for i, account := range c.accountIndex.Accounts {
+		n := c.allowance.Counts(i)
 		a := wire.AdmissionAccount{Team: account.Team, Class: account.Class, Queued: c.intake.queue.Queued(i),
 			Taken: n.Taken, Refused: n.Refused, Known: n.Known}
 		if t != nil {
@@ -328,7 +330,7 @@
 }
 
 // account numbers the account of a job.
-func (c *Core) account(spec *wire.Job) int { return c.book.Of(spec.Team, spec.Class) }
+func (c *Core) account(spec *wire.Job) int { return c.accountIndex.Of(spec.Team, spec.Class) }
 
 // judgeShares works out what each account is due in the pass that begins, from all
 // that is unfinished; nil unless there is more to do than the machines can take.
@@ -367,7 +369,7 @@
 		teams[t.Name] = &sched.Due{Share: shares[i]}
 	}
 	for i, d := range c.demands {
-		teams[c.book.Accounts[i].Team].Held += d.Held
+		teams[c.accountIndex.Accounts[i].Team].Held += d.Held
 	}
 	cases := make([]admit.Case, len(jobs))
 	for i, j := range jobs {
@@ -375,7 +377,7 @@
 	}
 	c.dues = make([]admit.Due, len(c.demands))
 	for i := range c.dues {
-		c.dues[i].Share = teams[c.book.Accounts[i].Team].Share
+		c.dues[i].Share = teams[c.accountIndex.Accounts[i].Team].Share
 	}
 	for i, turn := range c.served.Turns(now, cases) {
 		j := jobs[i]
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -82,20 +82,20 @@
 	levelsRead Micros          // when the leader last read the announcements
 	accepted   map[string]bool // jobs that others may await, known to be accepted
 
-	stateSeen Micros // last answer of the state service
-	peers     map[string]*peerInfo
-	strays    map[string]*stray // workers that reported while not leading
-	early     []func()          // reports that came before the records were read
-	fading    int               // leases renewed past this leader's deadline
-	lapsed    bool              // it was past its deadline for long, in this term
-	catalog   []wire.MachineType
-	intake    intake
-	pass      passing
-	born      Micros
-	book      *admit.Book
-	purse     *admit.Purse
-	waits     waits
-	relay     *carrier.Relay
+	stateSeen    Micros // last answer of the state service
+	peers        map[string]*peerInfo
+	visitors     map[string]*visitor // workers that reported while not leading
+	early        []func()            // reports that came before the records were read
+	lateRenewals int                 // leases renewed past this leader's deadline
+	longExpired  bool                // it was past its deadline for long, in this term
+	catalog      []wire.MachineType
+	intake       intake
+	pass         passing
+	born         Micros
+	accountIndex *admit.AccountIndex
+	allowance    *admit.Allowance
+	waits        waits
+	relay        *carrier.Relay
 
 	// Of the leader.
 	term        uint64
@@ -133,7 +133,7 @@
 	moved       Micros  // up to when moves of replicas are accounted for
 	moves       float64 // replicas that may be moved now
 	spot        spotLosses
-	giver       *admit.Giver
+	allocator   *admit.Allocator
 	shares      *admit.Shares
 	demands     []admit.Demand // of the latest pass, by account
 	served      *admit.Served
@@ -174,10 +174,10 @@
 func NewAt(env Env, cfg *config.Config, pol *policy.Policy, incarnation uint64, speaks int) *Core {
 	c := &Core{env: env, cfg: cfg, pol: pol, accepted: map[string]bool{}, levelsRead: -clock.Forever,
 		up:    upgrade{speaks: speaks, level: LevelPlaces, peers: map[string]int{}},
-		peers: map[string]*peerInfo{}, strays: map[string]*stray{}, book: book(cfg)}
+		peers: map[string]*peerInfo{}, visitors: map[string]*visitor{}, accountIndex: newAccountIndex(cfg)}
 	c.served = c.newServed()
-	c.purse = admit.NewPurse(c.book, c.submitLimits())
-	c.intake.queue = admit.NewQueue[*submission](c.book.Len(),
+	c.allowance = admit.NewAllowance(c.accountIndex, c.submitLimits())
+	c.intake.queue = admit.NewQueue[*submission](c.accountIndex.Len(),
 		admit.Bounds{Count: cfg.MaxWaiting(), Bytes: int(cfg.Params.Resources.MemoryMB * (1 << 20) / intakeMemory)})
 	c.writes = admit.NewBudget(c.writeRate(0), admit.Changes)
 	c.calls = rate.NewLimiter(rate.Limit(cfg.Params.Cloud.RPS*0.9), max(int(cfg.Params.Cloud.RPS), 1))
@@ -238,11 +238,11 @@
 	return c.lead.Leading() && c.renewal().Allowed(c.env.Now(), c.lead.Deadline(), c.loaded)
 }
 
-// tellFading logs, once it is over, how many leases this leader renewed past its deadline.
-func (c *Core) tellFading() {
-	if c.fading > 0 {
-		slog.Info("leases renewed past the leader's deadline", "renewals", c.fading, "term", c.term)
-		c.fading = 0
+// logLateRenewals logs, once it is over, how many leases this leader renewed past its deadline.
+func (c *Core) logLateRenewals() {
+	if c.lateRenewals > 0 {
+		slog.Info("leases renewed past the leader's deadline", "renewals", c.lateRenewals, "term", c.term)
+		c.lateRenewals = 0
 	}
 }
 
@@ -318,12 +318,12 @@
 func (c *Core) self(kind fb.Kind) *peer.Msg {
 	now := c.env.Now()
 	reports := uint32(0)
-	for id, s := range c.strays {
+	for id, s := range c.visitors {
 		if now-s.at < 3*clock.Second && s.forwarded == 0 {
 			reports++ // those that are handed on, the leader hears
 		}
 		if now-s.at > 2*c.cfg.WorkerLease() {
-			delete(c.strays, id)
+			delete(c.visitors, id)
 		}
 	}
 	m := &peer.Msg{Kind: kind, Node: c.cfg.Name, StateOK: c.stateOK(), Reports: reports, Incarnation: c.incarnation}
@@ -406,7 +406,7 @@
 // elected begins a term: all state is read again from the state service.
 func (c *Core) elected(term uint64) {
 	now := c.env.Now()
-	c.term, c.electedAt, c.loaded, c.lapsed = term, now, false, false
+	c.term, c.electedAt, c.loaded, c.longExpired = term, now, false, false
 	c.lastReport, c.moved, c.moves = now, now, 0
 	c.jobs = map[string]*sched.Job{}
 	c.finals = map[string]finalRecord{}
@@ -440,11 +440,11 @@
 
 func (c *Core) lost() {
 	c.loaded = false
-	c.tellFading()
+	c.logLateRenewals()
 	c.takeEarly()
 	c.commit.abandon()
 	c.jobs, c.machines, c.order, c.finals = nil, nil, nil, nil
-	c.giver, c.dues, c.router = nil, nil, nil
+	c.allocator, c.dues, c.router = nil, nil, nil
 	c.setWriteShare()
 }
 
@@ -489,14 +489,14 @@
 	}
 	now := c.env.Now()
 	if !c.keeping() || c.lead.Authority() {
-		c.tellFading()
+		c.logLateRenewals()
 	}
 	if !c.lead.Authority() {
 		// Giving up a lead that is over helps nobody, and one cut off has sent its workers
 		// away itself: they come back to be kept where they find no successor.
 		c.lastReport = now
-		c.lapsed = c.lapsed || c.loaded && now-c.lead.Deadline() > c.cfg.WorkerLease()/2
-	} else if c.lapsed {
+		c.longExpired = c.longExpired || c.loaded && now-c.lead.Deadline() > c.cfg.WorkerLease()/2
+	} else if c.longExpired {
 		// The key was never lost, but the workers look elsewhere, and all that was judged by
 		// their silence is wrong: one that led on returned the whole fleet after an outage
 		// longer than a lease (scenario meet_outage_keeps_fleet). All is read again.
--- a/internal/controller/detect.go
+++ b/internal/controller/detect.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// muteAfter is how many questions to a machine whose report is overdue stay without an answer
+// unansweredLimit is how many questions to a machine whose report is overdue stay without an answer
 // before it passes for silent.
-const muteAfter = 2
+const unansweredLimit = 2
 
 // overdue is how long a worker that reaches its controller is never silent.
 func (c *Core) overdue() Micros { return 3 * c.cfg.ReportEvery() / 2 }
@@ -56,7 +56,7 @@
 // that: it does not answer, and would have found another controller by now that hands its
 // reports on.
 func (c *Core) silent(m *sched.Machine, now Micros) bool {
-	return now-m.Heard > c.quiet() || m.Mute >= muteAfter && now-m.Heard > c.overdue()+foundBy
+	return now-m.Heard > c.quiet() || m.Unanswered >= unansweredLimit && now-m.Heard > c.overdue()+foundBy
 }
 
 // foundBy is about what a worker takes to find another controller.
@@ -77,13 +77,13 @@
 		if c.ordering >= c.cfg.OrderLimit()/4 {
 			return // a whole zone may be silent, and launches need orders too
 		}
-		if !m.Up || now-m.Heard < late || m.Mute >= muteAfter || now-m.Asked < responseLife/2 || !c.mayOrder(m) {
+		if !m.Up || now-m.Heard < late || m.Unanswered >= unansweredLimit || now-m.Asked < responseLife/2 || !c.mayOrder(m) {
 			continue
 		}
 		m.Asked = now
 		c.probe(m, func(ok bool, _ *wire.Report) {
-			if m.Mute++; ok || m.Heard > now {
-				m.Mute = 0
+			if m.Unanswered++; ok || m.Heard > now {
+				m.Unanswered = 0
 			}
 		})
 	}
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -13,8 +13,8 @@
 // The leader decides and answers as ever, by the same order of reports; a worker takes an
 // answer with its token from any node, and none later than 4 s.
 
-// stray is a worker that reported here while this node did not lead.
-type stray struct {
+// visitor is a worker that reported here while this node did not lead.
+type visitor struct {
 	at        Micros // last
 	sent      Micros // when it was last sent to the leader; 0: never
 	leader    string // which
@@ -28,12 +28,12 @@
 	forwardFor = 30 * clock.Second
 )
 
-// strayOf is what is known of a worker that reports here while this node does not lead.
-func (c *Core) strayOf(machine string) *stray {
-	s := c.strays[machine]
+// visitorOf is what is known of a worker that reports here while this node does not lead.
+func (c *Core) visitorOf(machine string) *visitor {
+	s := c.visitors[machine]
 	if s == nil {
-		s = new(stray)
-		c.strays[machine] = s
+		s = new(visitor)
+		c.visitors[machine] = s
 	}
 	return s
 }
@@ -56,13 +56,13 @@
 	leader := c.lead.Leader()
 	if c.lead.Leading() || leader == "" || !c.forwards(r, leader) {
 		a := c.OnReport(r)
-		if s := c.strays[r.Machine]; s != nil && a.Code == 421 {
+		if s := c.visitors[r.Machine]; s != nil && a.Code == 421 {
 			s.sent, s.leader, s.forwarded = c.env.Now(), a.Leader, 0
 		}
 		reply(a)
 		return
 	}
-	c.strays[r.Machine].at = c.env.Now()
+	c.visitors[r.Machine].at = c.env.Now()
 	m := c.self(fb.KindReport)
 	m.Body = wire.Encode(r)
 	c.env.Ask(leader, m, forwardTime, func(a *peer.Msg) {
@@ -70,7 +70,7 @@
 		if a != nil && a.Code == 200 && wire.Decode(a.Body, &answer.Body) == nil {
 			answer.Code = 200
 		}
-		if s := c.strays[r.Machine]; s != nil && answer.Code != 200 {
+		if s := c.visitors[r.Machine]; s != nil && answer.Code != 200 {
 			s.forwarded = 0
 		}
 		reply(answer)
@@ -85,7 +85,7 @@
 	if p == nil || !p.heard(now) || c.up.peers[leader] < LevelGroups {
 		return false
 	}
-	s := c.strayOf(r.Machine)
+	s := c.visitorOf(r.Machine)
 	switch {
 	case s.forwarded > 0:
 	case p.term > 0 && r.Token == p.term && (s.sent == 0 || now-s.sent > forwardFor), s.leader == leader && s.sent > 0 && now-s.sent < c.cfg.WorkerLease():
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -167,7 +167,7 @@
 // tendMachines returns the machines that are of no use: idle, silent, failed,
 // drained, or never up.
 func (c *Core) tendMachines(now Micros) {
-	up, silent, deaf, spot := 0, 0, 0, 0
+	up, silent, partitioned, spot := 0, 0, 0, 0
 	// After a takeover no machine has reported yet, and none is late for that:
 	// a new leader that judged by silence alone would return the whole fleet.
 	settled := now-c.electedAt > 3*c.cfg.WorkerLease()/2
@@ -181,7 +181,7 @@
 				silent++
 			}
 			if m.Downlink.Partitioned {
-				deaf++
+				partitioned++
 			}
 		}
 	}
@@ -215,9 +215,9 @@
 			why = "silent"
 		case m.Up && now-m.Heard > c.cfg.WorkerLease()+c.margin() && settled && !m.Busy():
 			why = "silent and empty"
-		case m.Downlink.Hopeless(now, c.cfg.WorkerLease()) && (deaf*4 <= up || deaf == 1):
+		case m.Downlink.Hopeless(now, c.cfg.WorkerLease()) && (partitioned*4 <= up || partitioned == 1):
 			// As with silent ones: many at once are more likely a fault of ours.
-			why = "deaf"
+			why = "one-way partition"
 		case !m.Acked && m.Busy() && settled:
 			why = "does not acknowledge this term"
 		case loose:
--- a/internal/controller/passing.go
+++ b/internal/controller/passing.go
@@ -65,7 +65,7 @@
 		c.pass.out--
 		switch a.Code {
 		case 200, 201:
-			c.purse.Took(account, a.Code == 200)
+			c.allowance.Took(account, a.Code == 200)
 		case 429:
 			c.noteRefused(account, job)
 		}
--- a/internal/controller/production_test.go
+++ b/internal/controller/production_test.go
@@ -25,8 +25,8 @@
 func loading(level int, state config.State) *Core {
 	cfg := new(config.Config)
 	cfg.Params.State = state
-	c := &Core{book: book(cfg), served: admit.NewServed(nil), env: still{}, cfg: cfg, pol: policy.Default(), up: upgrade{speaks: LevelTasks, level: level},
-		jobs: map[string]*sched.Job{}, finals: map[string]finalRecord{}, machines: map[string]*sched.Machine{}, groups: map[string]*group{}, purse: admit.NewPurse(book(cfg), admit.Limits{}),
+	c := &Core{accountIndex: newAccountIndex(cfg), served: admit.NewServed(nil), env: still{}, cfg: cfg, pol: policy.Default(), up: upgrade{speaks: LevelTasks, level: level},
+		jobs: map[string]*sched.Job{}, finals: map[string]finalRecord{}, machines: map[string]*sched.Machine{}, groups: map[string]*group{}, allowance: admit.NewAllowance(newAccountIndex(cfg), admit.Limits{}),
 		teams: map[string]*sched.Team{"core": {Name: "core"}}, rates: map[string]float64{}, arrivals: map[string]*arrival{}}
 	c.commit = committer{core: c, keys: map[string]*record{}}
 	return c
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -463,7 +463,7 @@
 	}
 	j.Init()
 	j.Measure(c.catalog)
-	c.purse.Accepted(j.ID)
+	c.allowance.Accepted(j.ID)
 	c.jobs[j.ID] = j
 	if len(spec.Awaits) == 0 {
 		c.setReady(j, j.Submitted)
@@ -605,7 +605,7 @@
 		}
 	}
 	c.spot.lost, c.spot.held = rec.Lost, rec.Held
-	if rec.Digest == c.book.Digest {
+	if rec.Digest == c.accountIndex.Digest {
 		c.served.Restore(rec.Served, at)
 	}
 	for class, r := range rec.Arrivals {
@@ -632,7 +632,7 @@
 	now := c.env.Now()
 	rec.Lost, rec.Held = short(c.spot.lost), short(c.spot.held)
 	if c.pol.Admission.On {
-		rec.Digest = c.book.Digest
+		rec.Digest = c.accountIndex.Digest
 		for _, x := range c.served.Counts(now) {
 			rec.Served = append(rec.Served, short(x))
 		}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -72,10 +72,10 @@
 		return ReportAnswer{Code: 503}
 	}
 	if !c.lead.Authority() {
-		c.fading++
+		c.lateRenewals++
 	}
 	// Only what is new shows that workers reach this node; late copies don't.
-	c.lastReport, m.Mute = now, 0
+	c.lastReport, m.Unanswered = now, 0
 	renew := ReportAnswer{Code: 200, Body: wire.ReportAnswer{Token: c.term}}
 	if r.Session == m.Session && r.Seq < m.OrderSeq {
 		// Written before the worker executed an order whose answer is known: what
@@ -101,7 +101,7 @@
 
 // notLeading sends a worker to the leader, if one is known.
 func (c *Core) notLeading(r *wire.Report, now Micros) ReportAnswer {
-	c.strayOf(r.Machine).at = now
+	c.visitorOf(r.Machine).at = now
 	if c.lead.Leader() == "" {
 		return ReportAnswer{Code: 503}
 	}
@@ -198,7 +198,7 @@
 }
 
 // cancelledOn lists the stops that every answer carries which renews a lease and decides
-// nothing else: to a report under an older token, which proves nothing, or of a fading leader,
+// nothing else: to a report under an older token, which proves nothing, or of a leader past its deadline,
 // which starts and forgets nothing. What is cancelled must go all the same: a chain of
 // leaders, each of which ended before the worker had acknowledged it, renewed a lease beyond
 // cancel_s and never stopped the task, found at four seconds between reports.
@@ -250,7 +250,7 @@
 			reported[t.Task] = t
 			continue
 		}
-		if cmd, ok := c.stray(m, t, now); ok {
+		if cmd, ok := c.unplacedTask(m, t, now); ok {
 			forget = append(forget, cmd)
 		} else if m.Places[t.Task] != nil && m.Places[t.Task].Attempt == t.Attempt {
 			reported[t.Task] = t // adopted
@@ -325,10 +325,10 @@
 	return stop, start
 }
 
-// stray deals with a reported task that holds no place here: an exited one is
+// unplacedTask deals with a reported task that holds no place here: an exited one is
 // forgotten, unless it might be started again then; a live one is adopted if its
 // job wants it, or stopped. It reports false when there is no command.
-func (c *Core) stray(m *sched.Machine, t *wire.TaskReport, now Micros) (wire.Command, bool) {
+func (c *Core) unplacedTask(m *sched.Machine, t *wire.TaskReport, now Micros) (wire.Command, bool) {
 	jobID, index, _ := wire.SplitTask(t.Task)
 	j := c.jobs[jobID]
 	free := j != nil && j.Active() && !j.Waiting() && index < len(j.Tasks) && j.Tasks[index].State == sched.Pending && !j.Gang()
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -142,7 +142,7 @@
 		c.Malformed(job.ID, why, reply)
 		return
 	}
-	c.purse.Saw(account, len(changes), now)
+	c.allowance.Saw(account, len(changes), now)
 	c.await(&submission{job, account, now, changes, reply})
 	c.takeIn()
 }
--- a/internal/peer/admission.go
+++ b/internal/peer/admission.go
@@ -17,16 +17,16 @@
 		fb.CreateArrivals(b, a.Rate, a.Queued, a.Refused)
 	}
 	accounts := b.EndVector(len(n.Accounts))
-	fb.NoticeStartToldVector(b, len(n.Told))
-	for i := len(n.Told) - 1; i >= 0; i-- {
-		b.PrependUint32(n.Told[i].Hash)
+	fb.NoticeStartToldVector(b, len(n.Refusals))
+	for i := len(n.Refusals) - 1; i >= 0; i-- {
+		b.PrependUint32(n.Refusals[i].Hash)
 	}
-	told := b.EndVector(len(n.Told))
-	fb.NoticeStartAsksVector(b, len(n.Told))
-	for i := len(n.Told) - 1; i >= 0; i-- {
-		fb.CreateAsk(b, n.Told[i].Account, n.Told[i].CPUs)
+	told := b.EndVector(len(n.Refusals))
+	fb.NoticeStartAsksVector(b, len(n.Refusals))
+	for i := len(n.Refusals) - 1; i >= 0; i-- {
+		fb.CreateAsk(b, n.Refusals[i].Account, n.Refusals[i].CPUs)
 	}
-	asks := b.EndVector(len(n.Told))
+	asks := b.EndVector(len(n.Refusals))
 	fb.NoticeStart(b)
 	fb.NoticeAddDigest(b, n.Digest)
 	fb.NoticeAddAccounts(b, accounts)
@@ -47,12 +47,12 @@
 	}
 	var ask fb.Ask
 	for i := range bounded(t.ToldLength()) {
-		told := admit.Told{Hash: t.Told(i)}
+		told := admit.Refusal{Hash: t.Told(i)}
 		if i < t.AsksLength() { // versions before this one say nothing of it
 			t.Asks(&ask, i)
 			told.Account, told.CPUs = ask.Account(), ask.Cpus()
 		}
-		n.Told = append(n.Told, told)
+		n.Refusals = append(n.Refusals, told)
 	}
 	return n
 }
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -181,14 +181,14 @@
 	Images map[string]Micros // last use
 	Sizes  map[string]float64
 
-	Downlink  oneway.Detector // whether it hears us
-	Away      Micros          // when it was last sent away, to look for a successor
-	Greeted   bool            // a report of it under an older token was answered in this term
-	LostOrder bool            // the latest order was not answered
-	Mute      int             // questions without an answer since its last report
-	Asked     Micros          // when the latest of those was put
-	Doubted   Micros          // when it was last asked whether it was started anew
-	Anew      bool            // it was
+	Downlink   oneway.Detector // whether it hears us
+	Away       Micros          // when it was last sent away, to look for a successor
+	Greeted    bool            // a report of it under an older token was answered in this term
+	LostOrder  bool            // the latest order was not answered
+	Unanswered int             // questions without an answer since its last report
+	Asked      Micros          // when the latest of those was put
+	Doubted    Micros          // when it was last asked whether it was started anew
+	Anew       bool            // it was
 
 	// Unreaped are attempts that a launch still on its way would start again if the worker
 	// forgot them, in the present session.
--- a/internal/sim/bounds_test.go
+++ b/internal/sim/bounds_test.go
@@ -88,7 +88,7 @@
 // any deployment has, and as many refused jobs as a node names.
 func TestFrames(t *testing.T) {
 	const accounts = 50 * 20
-	m := &peer.Msg{Kind: fb.KindHello, Notice: &admit.Notice{Accounts: make([]admit.Arrivals, accounts), Told: make([]admit.Told, 512)},
+	m := &peer.Msg{Kind: fb.KindHello, Notice: &admit.Notice{Accounts: make([]admit.Arrivals, accounts), Refusals: make([]admit.Refusal, 512)},
 		Table: &admit.Table{Accounts: make([]admit.Entry, accounts)}}
 	if n := len(m.Encode()); n > peer.MaxFrame {
 		t.Errorf("%d bytes of %d", n, peer.MaxFrame)
