--- a/internal/sim/bench_test.go
+++ b/internal/sim/bench_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"testing"
 
+	"lilacthread/internal/peer"
 	"lilacthread/wire"
+	"lilacthread/wire/fb"
 )
 
 // bigWorld is a leader, and its followers if there are to be more nodes, of n machines,
@@ -31,7 +33,7 @@
 }
 
 func sizes(b *testing.B, f func(*testing.B, int)) {
-	for _, n := range []int{250, 873, 1310, 1835, 2500, 4000} {
+	for _, n := range []int{250, 873, 1310, 1835, 2500, 3100, 4000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) { f(b, n) })
 	}
 }
@@ -61,6 +63,48 @@
 	})
 }
 
+// BenchmarkRelayedReport takes in one report of a batch of a hundred that another controller
+// relays, decoding and the answer's encoding included: with its tasks, and without since
+// nothing is new.
+func BenchmarkRelayedReport(b *testing.B) {
+	const batch = 100
+	for name, repeated := range map[string]bool{"whole": false, "repeated": true} {
+		b.Run(name, func(b *testing.B) {
+			sizes(b, func(b *testing.B, n int) {
+				w := bigWorld(b, 1, n)
+				ids := sortedKeys(w.Cloud.Machines)
+				last := map[string]uint64{}
+				for i := 0; b.Loop(); i++ {
+					b.StopTimer()
+					m := &peer.Msg{Kind: fb.KindReports, Node: "node-1"}
+					for k := range batch {
+						rep := w.Cloud.Machines[ids[(i*batch+k)%len(ids)]].snapshot()
+						item := peer.RelayedReport{Machine: rep.Machine, Session: rep.Session, Seq: rep.Seq, Token: rep.Token, Base: last[rep.Machine]}
+						if !repeated || item.Base == 0 {
+							item.Body = wire.Encode(rep)
+						}
+						last[rep.Machine] = rep.Seq
+						m.Relayed = append(m.Relayed, item)
+					}
+					frame := m.Encode()
+					b.StartTimer()
+					got, err := peer.Decode(frame)
+					if err != nil {
+						b.Fatal(err)
+					}
+					w.Nodes[0].core.OnPeer(got, func(a *peer.Msg) {
+						if a.Answers[0].Code != 200 {
+							b.Fatal(a.Answers[0].Code)
+						}
+						a.Encode()
+					})
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/report")
+			})
+		})
+	}
+}
+
 // BenchmarkSecond is a second of a leader's life in which nothing is new: ticks,
 // reports and what the stand-ins of everything else cost.
 func BenchmarkSecond(b *testing.B) {
