Jobs that fail everywhere are probed one task at a time and blame no machine

Change: a machine on which only unproven jobs failed is blamed 10 s later, if they still count against it; a job in backoff none of whose tasks runs is tried with one task.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -186,6 +186,7 @@
 		}
 	}
 	c.spot.observe(spot, now)
+	c.judgeSick(now)
 	in := c.fleetInput(now)
 	spare := in.Spare()
 	for _, m := range c.order {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -471,9 +471,7 @@
 func (c *Core) failed(m *sched.Machine, p *sched.Placement, now Micros) {
 	j := p.Job
 	j.FailedOn[m.ID] = true
-	healthy := j.Succeeded || slices.ContainsFunc(j.Tasks, func(t sched.Task) bool {
-		return t.Place != nil && t.Place != p && t.Place.Running > 0 && !t.Place.Exited && now-t.Place.Running > 10*clock.Second
-	})
+	healthy := j.Succeeded || j.Runs(now, p)
 	if !healthy && len(j.FailedOn) >= 3 {
 		j.Backoff = min(max(2*j.Backoff, 4*clock.Second), 60*clock.Second)
 		j.HoldUntil = now + j.Backoff
@@ -492,9 +490,37 @@
 		m.ErrorJobs = map[string]bool{}
 	}
 	m.ErrorJobs[j.ID] = true
-	if m.Errors >= c.pol.SickErrors && (len(m.ErrorJobs) > 1 || healthy) && !m.Draining {
-		slog.Info("machine fails its tasks, draining", "machine", m.ID)
-		c.drain(m)
+	if m.Errors < c.pol.SickErrors || m.Draining {
+		return
+	}
+	if healthy {
+		c.drainSick(m)
+	} else if len(m.ErrorJobs) > 1 && m.Suspected == 0 {
+		m.Suspected = now
+	}
+}
+
+// drainSick empties a machine that fails its tasks.
+func (c *Core) drainSick(m *sched.Machine) {
+	slog.Info("machine fails its tasks, draining", "machine", m.ID)
+	c.drain(m)
+}
+
+// blameAfter is how long a machine on which several jobs failed, none of which is known to
+// be sound, is kept before it is blamed: by then jobs that fail everywhere have failed
+// elsewhere too, and no longer count against it.
+const blameAfter = 10 * clock.Second
+
+// judgeSick empties the machines that are to blame for their failures.
+func (c *Core) judgeSick(now Micros) {
+	for _, m := range c.order {
+		switch {
+		case m.Suspected == 0:
+		case len(m.ErrorJobs) <= 1:
+			m.Suspected = 0
+		case now-m.Suspected > blameAfter && !m.Draining:
+			c.drainSick(m)
+		}
 	}
 }
 
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -66,16 +66,18 @@
 	kilobytes := func(s Share) float64 { return s.MB * 1024 }
 	rate := func(s Share) float64 { return s.KBps * 1024 }
 	sockets := func(s Share) float64 { return float64(s.Sockets) }
+	// Workers are no term beside reports: each reports at a steady rate, so the two can't be
+	// told apart.
 	models := []struct {
 		what  string
 		value func(*Result) float64
 		terms []regressor
 	}{
-		{"leader, us of processor time", func(p *Result) float64 { return leader(p, cores) }, []regressor{constant, workers, reports, starts, jobs}},
+		{"leader, us of processor time", func(p *Result) float64 { return leader(p, cores) }, []regressor{constant, reports, starts, jobs}},
 		{"other controller, us", func(p *Result) float64 { return follower(p, cores) }, []regressor{constant, reports, starts, jobs}},
 		{"leader, KB resident", func(p *Result) float64 { return leader(p, kilobytes) }, []regressor{constant, workers, runningOn}},
 		{"other controller, KB resident", func(p *Result) float64 { return follower(p, kilobytes) }, []regressor{constant, workers}},
-		{"leader, bytes moved a second", func(p *Result) float64 { return leader(p, rate) }, []regressor{constant, workers, reports, starts, jobs}},
+		{"leader, bytes moved a second", func(p *Result) float64 { return leader(p, rate) }, []regressor{constant, reports, starts, jobs}},
 		{"other controller, bytes moved a second", func(p *Result) float64 { return follower(p, rate) }, []regressor{constant, reports, starts, jobs}},
 		{"leader, sockets", func(p *Result) float64 { return leader(p, sockets) }, []regressor{constant, workers}},
 		{"other controller, sockets", func(p *Result) float64 { return follower(p, sockets) }, []regressor{constant, workers}},
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -91,6 +91,27 @@
 // Active reports whether the job still wants to run.
 func (j *Job) Active() bool { return !j.Cancelled && !j.Ended }
 
+// soundAfter is how long a task runs that does not fail at once.
+const soundAfter = 10 * clock.Second
+
+// Runs reports whether some task of the job, other than the one at the given place, has
+// been running for a while.
+func (j *Job) Runs(now Micros, without *Placement) bool {
+	for i := range j.Tasks {
+		pl := j.Tasks[i].Place
+		if pl != nil && pl != without && pl.Running > 0 && !pl.Exited && now-pl.Running > soundAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// Probing reports whether the job failed on several machines and no task of it has run
+// since: it is tried with one task at a time, which needs no machine rented for it.
+func (j *Job) Probing(now Micros) bool {
+	return j.Backoff > 0 && !j.Succeeded && !j.Runs(now, nil)
+}
+
 // Gang, Service and Array name the job's kind.
 func (j *Job) Gang() bool    { return j.Spec.Kind == wire.KindGang }
 func (j *Job) Service() bool { return j.Spec.Kind == wire.KindService }
@@ -196,6 +217,7 @@
 
 	Errors    int             // failures since the last success
 	ErrorJobs map[string]bool // whose failures those were
+	Suspected Micros          // when several jobs, none known to be sound, had failed on it; 0: they have not
 	AvoidTill Micros
 	IdleSince Micros
 	Recorded  bool // the state service has its record
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -451,10 +451,11 @@
 // where its image is if warm is set.
 func (p *pass) placeEach(j *Job, warm bool) {
 	team := p.Teams[j.Spec.Team]
-	if !team.Allows(j.Need()) || !p.entitled(j) {
+	probing := j.Probing(p.Now)
+	if !team.Allows(j.Need()) || !p.entitled(j) || probing && j.Placed > 0 {
 		return
 	}
-	held, taste := j.Zones(nil), !j.Service() && j.overdue(p.Now)
+	held, taste := j.Zones(nil), probing || !j.Service() && j.overdue(p.Now)
 	p.warm = warm
 	p.scoreAll(j, "")
 	if held == nil {
@@ -487,6 +488,9 @@
 	}
 	p.book(j)
 	if n := len(j.Queue); n > 0 && !warm && p.last() {
+		if probing {
+			n = 1
+		}
 		p.out.Unplaced = append(p.out.Unplaced, Unplaced{j, n})
 		if j.Priority > wire.PriorityLow && j.Priority < wire.PriorityProduction {
 			p.makeRoom(j, n)
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -209,7 +209,7 @@
 }
 
 // troubles are the verbs that make something go wrong, for a while or at once.
-var troubles = map[string]bool{"kill": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true, "apart": true,
+var troubles = map[string]bool{"kill": true, "freeze": true, "twin": true, "slow": true, "throttle": true, "cut": true, "isolate": true, "apart": true,
 	"refuse": true, "outage": true, "late-txn": true, "late-writes": true, "lost-answer": true, "late-order": true, "slow-reports": true,
 	"slow-links": true, "zone-cut": true,
 	"late-rent": true, "late-return": true, "no-boot": true, "hang": true, "deaf": true, "mute": true, "dead": true, "copies": true, "reborn": true, "sick": true,
@@ -259,6 +259,7 @@
 		"cancel":         (*script).doCancel,
 		"close-looks":    (*script).doCloseLooks,
 		"kill":           (*script).doKill,
+		"freeze":         (*script).doFreeze,
 		"twin":           (*script).doTwin,
 		"upgrade":        (*script).doUpgrade,
 		"refuse":         (*script).doRefuse,
--- a/internal/sim/script_chaos.go
+++ b/internal/sim/script_chaos.go
@@ -129,6 +129,10 @@
 		case 27:
 			line(t, "copies for-next share=0.%d by=%d for=%d", 1+rng.IntN(9), 2+rng.IntN(20), 3*span)
 			line(t+Micros(rng.Int64N(int64(3*span)))*sec, "kill leader for=%d", 1+rng.IntN(8))
+		case 28:
+			line(t, "freeze leader for=%d", span)
+		case 29:
+			line(t, "freeze follower for=%d", span)
 		}
 	}
 	for t := from; t < to; t += every/2 + Micros(rng.Int64N(int64(every))) {
--- a/internal/sim/script_nodes.go
+++ b/internal/sim/script_nodes.go
@@ -35,6 +35,11 @@
 	}
 }
 
+// doFreeze: a process stands still while its clocks run on.
+func (s *script) doFreeze(a args) func() {
+	return func() { s.node(a.word(0)).Freeze(a.span("for", 5)) }
+}
+
 // doTwin: one more process, on a machine of its own, that bears a node's name.
 func (s *script) doTwin(a args) func() {
 	w := s.w
--- a/internal/sim/script_users.go
+++ b/internal/sim/script_users.go
@@ -16,6 +16,7 @@
 func (s *script) doSubmit(a args) func() {
 	w := s.w
 	job := s.job(a)
+	w.broken[job.ID] = a.has("broken") // submitted with a mistake: it fails on every machine
 	return func() {
 		if a.has("malformed") { // a field is missing
 			u := w.Follow(job)
