--- a/internal/controller/relay.go
+++ b/internal/controller/relay.go
@@ -111,9 +111,11 @@
 	}
 }
 
-// relaysNow is what a leader tells of who relays; nil from any other node.
+// relaysNow is what a leader tells of who relays; nil from any other node. One past its
+// deadline tells it as well, as it goes on renewing leases: in an outage of the state service
+// all workers would otherwise come to it at once. A newer leader's table replaces it.
 func (c *Core) relaysNow() *relay.Table {
-	if !c.Serving() || c.router == nil {
+	if !c.lead.Leading() || !c.loaded || c.router == nil {
 		return nil
 	}
 	return c.router.Table()
@@ -152,7 +154,7 @@
 		Workers: c.relay.Workers(), Waiting: c.relay.Waiting(), Relayed: n.Relayed, Repeated: n.Repeated, Batches: n.Batches,
 		Unanswered: n.Unanswered, Redirected: n.Redirected, Shed: n.Shed, Orders: n.Orders, Refused: n.Refused,
 		Malformed: n.Malformed, DelayMicros: int64(n.Delay)}
-	if out.Leads {
+	if c.lead.Leading() && c.router != nil {
 		out.Carried = c.router.Carried()
 	}
 	return out
