--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -59,7 +59,7 @@
 	return sum / n
 }
 
-// Fits gives the slopes that the reports show. Phases in which a controller was killed are
+// Fits gives the slopes that the reports show. Phases in which something failed are
 // left out: a takeover is no slope.
 func Fits(list []*Report) ([]Fit, error) {
 	cores := func(s Share) float64 { return s.Cores * 1e6 } // in us a second
@@ -89,7 +89,7 @@
 		for _, r := range list {
 			for i := range r.Phases {
 				p := &r.Phases[i]
-				if v := m.value(p); !p.Killed && !math.IsNaN(v) {
+				if v := m.value(p); !p.Troubled && !math.IsNaN(v) {
 					row := make([]float64, len(m.terms))
 					for k, t := range m.terms {
 						row[k] = t.value(r, p)
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -39,7 +39,7 @@
 type Result struct {
 	Phase      string
 	Seconds    float64
-	Killed     bool    // a controller, as it began
+	Troubled   bool    // something failed in it
 	Jobs       float64 // submitted a second
 	Starts     float64 // of tasks a second
 	Running    int     // tasks, at the end
@@ -102,7 +102,7 @@
 // compare gives what happened between two looks.
 func (d *deployment) compare(p *Phase, from, to sample) Result {
 	span := to.at.Sub(from.at).Seconds()
-	r := Result{Phase: p.Name, Seconds: span, Killed: p.Kill != "", Jobs: float64(to.jobs-from.jobs) / span, Starts: float64(to.started-from.started) / span, Running: to.running,
+	r := Result{Phase: p.Name, Seconds: span, Troubled: p.troubled(), Jobs: float64(to.jobs-from.jobs) / span, Starts: float64(to.started-from.started) / span, Running: to.running,
 		Reports:    float64(to.traffic.Reports-from.traffic.Reports) / span,
 		Redirected: to.traffic.Redirected - from.traffic.Redirected, Failed: to.traffic.Failed - from.traffic.Failed,
 		LeasesLost: to.leasesLost - from.leasesLost,
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -189,18 +189,16 @@
 
 // play runs one phase and measures it, but for its first seconds, in which the load grows.
 func (d *deployment) play(ctx context.Context, p *Phase) error {
-	if p.Kill != "" {
-		d.killOne(p)
-	}
 	d.users.load(p)
 	settle := min(p.For/3, time.Duration(1.5*p.Run*float64(time.Second)))
-	if p.Kill != "" {
+	if p.troubled() {
 		settle = 0
 	}
 	if err := sleep(ctx, settle); err != nil {
 		return err
 	}
 	from := d.sample()
+	d.trouble(p)
 	for left := p.For - settle; left > 0; left -= time.Second {
 		if err := sleep(ctx, min(left, time.Second)); err != nil {
 			return err
@@ -215,15 +213,34 @@
 	return nil
 }
 
-// killOne kills the leader or another controller and starts it again.
-func (d *deployment) killOne(p *Phase) {
-	victim := d.leader()
-	if p.Kill == "follower" {
-		victim = (victim + 1) % d.Controllers
-	}
-	if victim < 0 {
-		return
+// trouble has fail what the phase says.
+func (d *deployment) trouble(p *Phase) {
+	d.live.Do(func(w *sim.World) {
+		w.LoseMachines(int(p.Lose))
+		if p.Cut > 0 {
+			w.CutZone(w.Config.Params.Zones[0], sim.Micros(p.Cut*1e6))
+		}
+	})
+	leader := d.leader()
+	switch {
+	case leader < 0:
+	case p.Kill == "leader":
+		d.restart(leader, p)
+	case p.Kill == "follower":
+		d.restart((leader+1)%d.Controllers, p)
+	case p.Kill == "each":
+		for i := range d.Controllers {
+			d.restart(i, p)
+			time.Sleep(betweenRestarts)
+		}
 	}
+}
+
+// betweenRestarts is the pause between controllers that are restarted in turn.
+const betweenRestarts = 2 * time.Second
+
+// restart kills a controller and starts it again.
+func (d *deployment) restart(victim int, p *Phase) {
 	d.kill(victim)
 	time.Sleep(time.Duration(p.Back * float64(time.Second)))
 	if err := d.start(victim); err != nil {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -21,7 +21,7 @@
 		head + "phase p":                         "line 4: for=SECONDS is needed",
 		head + "phase p for=0.5":                 "line 4: for=0.5: not a number from 1 to 600",
 		head + "phase p for=x":                   "line 4: for=x: not a number",
-		head + "phase p for=5 kill=all":          "line 4: kill=all: not leader or follower",
+		head + "phase p for=5 kill=all":          "line 4: kill=all: not leader, follower or each",
 		head + "phase p for=5 colour=1":          "line 4: colour: not one of for,",
 		"workers count=6000":                     "line 1: count=6000: not a number from 1 to 5000",
 		"workers count=5 cpus=16 service-cpus=8": "line 1: service-cpus=8: more than half",
@@ -55,7 +55,7 @@
 			p := Result{Reports: float64(n)/5 + rate*float64(1+i%3), Starts: rate * float64(1+i%2), Jobs: rate / 10, Running: n + 10*i}
 			cores := 1e-6 * (500 + 100*p.Reports + 80*p.Starts + 900*p.Jobs)
 			p.Controllers = []Share{{Cores: cores, Leads: true, MB: 20, Sockets: n}, {Cores: cores / 10, MB: 20, Sockets: n}}
-			r.Phases = append(r.Phases, p, Result{Killed: true, Controllers: []Share{{Cores: 9, Leads: true}}})
+			r.Phases = append(r.Phases, p, Result{Troubled: true, Controllers: []Share{{Cores: 9, Leads: true}}})
 		}
 		list = append(list, r)
 	}
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -34,10 +34,15 @@
 	Run    float64 // of a task, seconds
 	CPUs   float64 // of a task
 	Urgent float64 // urgent jobs of one task a second
-	Kill   string  // "", "leader" or "follower": killed as the phase begins, and started again
-	Back   float64 // after so many seconds
+	Kill   string  // "", "leader", "follower" or "each" in turn: killed as the phase begins
+	Back   float64 // and started again after so many seconds
+	Lose   float64 // machines that stop as the phase begins
+	Cut    float64 // seconds for which the first zone's workers are cut off
 }
 
+// troubled reports whether something fails in the phase, so that it shows no slope.
+func (p *Phase) troubled() bool { return p.Kill != "" || p.Lose > 0 || p.Cut > 0 }
+
 // setting is a number of a scenario with what is allowed.
 type setting struct {
 	name     string
@@ -110,11 +115,12 @@
 		}
 		return ok
 	})
-	if !slices.Contains([]string{"", "leader", "follower"}, p.Kill) {
-		return fmt.Errorf("kill=%s: not leader or follower", p.Kill)
+	if !slices.Contains([]string{"", "leader", "follower", "each"}, p.Kill) {
+		return fmt.Errorf("kill=%s: not leader, follower or each", p.Kill)
 	}
 	err := assign(rest, []setting{{"for", &seconds, 1, 600}, {"starts", &p.Starts, 0, 10000}, {"tasks", &p.Tasks, 1, 100000},
-		{"run", &p.Run, 0.5, 600}, {"cpus", &p.CPUs, 0.01, 512}, {"urgent", &p.Urgent, 0, 100}, {"back", &p.Back, 0, 60}})
+		{"run", &p.Run, 0.5, 600}, {"cpus", &p.CPUs, 0.01, 512}, {"urgent", &p.Urgent, 0, 100}, {"back", &p.Back, 0, 60},
+		{"lose", &p.Lose, 0, 5000}, {"cut", &p.Cut, 0, 600}})
 	if err == nil && seconds == 0 {
 		err = fmt.Errorf("for=SECONDS is needed")
 	}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -137,6 +137,26 @@
 	return n
 }
 
+// LoseMachines has so many machines stop with all that is on them.
+func (w *World) LoseMachines(count int) {
+	for _, id := range sortedKeys(w.Cloud.Machines) {
+		if x := w.Cloud.Machines[id]; count > 0 && x.up && !x.dead {
+			x.die()
+			count--
+		}
+	}
+}
+
+// CutZone has a zone's machines reach no controller, and nothing reach them, for a while.
+func (w *World) CutZone(zone string, span Micros) {
+	for _, id := range sortedKeys(w.Cloud.Machines) {
+		if w.Cloud.Machines[id].zone == zone {
+			w.markFor(w.mute, id, span)
+			w.markFor(w.deaf, id, span)
+		}
+	}
+}
+
 // At runs f at an instant.
 func (w *World) At(t Micros, f func()) {
 	w.seq++
