--- a/internal/sim/script_setup.go
+++ b/internal/sim/script_setup.go
@@ -162,10 +162,12 @@
 	}
 }
 
-// doChaos: see script.chaos.
+// doChaos: see chaos.
 func (s *script) doChaos(a args) func() {
 	return func() {
-		s.chaos(uint64(a.num("seed", 1)), a.span("from", 20), a.span("to", 200), a.span("every", 8), a.span("pipelines", 1e9), int(a.num("size", 1)), int(a.num("more", 0)), a.has("pairs"))
+		day := chaos{s: s, from: a.span("from", 20), to: a.span("to", 200), every: a.span("every", 8), pipelines: a.span("pipelines", 1e9),
+			size: int(a.num("size", 1)), more: int(a.num("more", 0)), pairs: a.has("pairs")}
+		day.play(uint64(a.num("seed", 1)))
 	}
 }
 
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -157,62 +157,34 @@
 		x.backlog = append(x.backlog, x.report)
 		return
 	}
-	w := x.w
-	every := Micros(w.Config.Params.Workers.Report * 1e6)
-	sent, session, life := w.now, x.session, x.life
-	n := w.Nodes[x.node]
-	x.sent, x.waiting, x.changed = w.now, true, false
-	next := x.reportIn
-	other := func() {
-		x.node = (x.node + 1) % len(w.Nodes)
-		next(sec)
-	}
-	if w.mute[x.id] { // no connection comes about
-		other()
+	x.sent, x.waiting, x.changed = x.w.now, true, false
+	if x.w.mute[x.id] { // no connection comes about
+		x.tryNext()
 		return
 	}
-	rep := x.snapshot()
-	slow := w.SlowReports
-	answered := func(a controller.ReportAnswer) {
-		x.do(func() {
-			if life != x.life {
-				other()
-				return
-			}
-			switch a.Code {
-			case 200:
-				if a.Body.Token >= x.token && a.Body.Token > 0 && session == x.session && w.now-sent <= 4*sec {
-					x.token = a.Body.Token
-					x.renewed = max(x.renewed, sent)
-					x.run(a.Body.Commands)
-				}
-				x.waiting = false
-				next(every*3/4 + Micros(w.rng.IntN(int(every/2))))
-				if x.changed {
-					x.change()
-				}
-			case 421:
-				for i, o := range w.Nodes {
-					if o.name == a.Leader && i != x.node {
-						x.node = i
-						next(100 * ms)
-						return
-					}
-				}
-				other()
-			default:
-				other()
-			}
-		})
-	}
-	if w.live != nil {
-		w.live.report(n.name, rep, answered)
+	rep, of := x.snapshot(), sending{x.w.now, x.session, x.life}
+	answered := func(a controller.ReportAnswer) { x.do(func() { x.answered(a, of) }) }
+	n := x.w.Nodes[x.node]
+	if x.w.live != nil {
+		x.w.live.report(n.name, rep, answered)
 		return
 	}
+	x.w.deliver(n, rep, answered, func() { x.do(x.tryNext) })
+}
+
+// sending is when a report was sent, and by which life of its machine.
+type sending struct {
+	at      Micros
+	session uint64
+	life    int
+}
+
+// deliver carries a report to a controller in virtual time, through the real codec.
+func (w *World) deliver(n *Node, rep *wire.Report, answered func(controller.ReportAnswer), fail func()) {
+	slow := w.SlowReports
 	w.copyLater(rep)
-	w.call(x.id, n.name, 4*sec, func(respond func(func())) {
+	w.call(rep.Machine, n.name, 4*sec, func(respond func(func())) {
 		w.After(slow, func() {
-			// Through the real codec.
 			got, err := wire.DecodeReport(wire.Encode(rep))
 			if err != nil {
 				panic(err)
@@ -221,7 +193,54 @@
 				n.core.TakeReport(got, func(a controller.ReportAnswer) { respond(func() { answered(a) }) })
 			})
 		})
-	}, func() { x.do(other) })
+	}, fail)
+}
+
+// tryNext reports to the next controller, a second later.
+func (x *Worker) tryNext() {
+	x.node = (x.node + 1) % len(x.w.Nodes)
+	x.reportIn(sec)
+}
+
+// answered takes in the answer to a report.
+func (x *Worker) answered(a controller.ReportAnswer, of sending) {
+	switch {
+	case of.life != x.life:
+		x.tryNext()
+	case a.Code == 200:
+		x.renew(a, of)
+	case a.Code == 421 && x.redirect(a.Leader):
+		x.reportIn(100 * ms)
+	default:
+		x.tryNext()
+	}
+}
+
+// renew executes an answer's commands, unless it is too old, and plans the next report.
+func (x *Worker) renew(a controller.ReportAnswer, of sending) {
+	w := x.w
+	every := Micros(w.Config.Params.Workers.Report * 1e6)
+	if a.Body.Token >= x.token && a.Body.Token > 0 && of.session == x.session && w.now-of.at <= 4*sec {
+		x.token = a.Body.Token
+		x.renewed = max(x.renewed, of.at)
+		x.run(a.Body.Commands)
+	}
+	x.waiting = false
+	x.reportIn(every*3/4 + Micros(w.rng.IntN(int(every/2))))
+	if x.changed {
+		x.change()
+	}
+}
+
+// redirect turns to the controller named, if it is another that the worker knows.
+func (x *Worker) redirect(name string) bool {
+	for i, o := range x.w.Nodes {
+		if o.name == name && i != x.node {
+			x.node = i
+			return true
+		}
+	}
+	return false
 }
 
 // reportIn plans the next report.
