--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -301,7 +301,8 @@
 	}
 	c.relay.Tidy()
 	notice := c.tendAdmission(now)
-	for name := range c.peers {
+	for _, p := range c.cfg.Peers { // in the same order each time
+		name := p.Name
 		greeting := c.self(fb.KindHello)
 		greeting.Notice = notice
 		greeting.Sockets = int(c.env.Sockets() * 1000)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -74,9 +74,9 @@
 // submitElsewhere hands a submission to a peer that reaches the state service,
 // which this node does not.
 func (c *Core) submitElsewhere(job *wire.Job, reply func(Answer)) {
-	for name, p := range c.peers {
-		if p.stateOK && c.env.Now()-p.at < 3*clock.Second {
-			c.submitTo(name, job, reply)
+	for _, peer := range c.cfg.Peers { // in the same order each time
+		if p := c.peers[peer.Name]; p.stateOK && c.env.Now()-p.at < 3*clock.Second {
+			c.submitTo(peer.Name, job, reply)
 			return
 		}
 	}
