--- a/cmd/scaletest/main.go
+++ b/cmd/scaletest/main.go
@@ -31,6 +31,7 @@
 	Log      string   `type:"path" help:"Write the controllers' logs here."`
 	With     []string `default:"admission" help:"What the controllers have switched on."`
 	Policy   string   `type:"existingfile" help:"A policy for the controllers (Starlark)."`
+	Slopes   []string `type:"existingfile" help:"Reports of earlier runs, whose slopes are set beside what is measured."`
 }
 
 // errBroken ends a run in which a rule did not hold with exit code 1.
@@ -94,6 +95,13 @@
 	if err != nil {
 		return err
 	}
+	if len(c.Slopes) > 0 {
+		fits, err := slopes(c.Slopes)
+		if err != nil {
+			return err
+		}
+		report.Expect(fits)
+	}
 	if c.JSON != "" {
 		raw, err := json.MarshalIndent(report, "", " ")
 		if err != nil {
@@ -117,23 +125,28 @@
 }
 
 func (c *fitCmd) Run() error {
+	fits, err := slopes(c.Reports)
+	if err != nil {
+		return err
+	}
+	return scale.PrintFits(os.Stdout, fits)
+}
+
+// slopes fits those of the reports in the files.
+func slopes(files []string) ([]scale.Fit, error) {
 	var list []*scale.Report
-	for _, name := range c.Reports {
+	for _, name := range files {
 		raw, err := os.ReadFile(name)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		r := new(scale.Report)
 		if err := json.Unmarshal(raw, r); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
+			return nil, fmt.Errorf("%s: %w", name, err)
 		}
 		list = append(list, r)
 	}
-	fits, err := scale.Fits(list)
-	if err != nil {
-		return err
-	}
-	return scale.PrintFits(os.Stdout, fits)
+	return scale.Fits(list)
 }
 
 func main() {
--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -24,6 +24,41 @@
 	Slope, Error float64
 }
 
+// The models whose expectation a report sets beside what was measured.
+const (
+	leaderTime = "leader, us of processor time"
+	otherTime  = "other controller, us"
+)
+
+// Expect has the report show what slopes that were measured before say of each phase.
+func (r *Report) Expect(fits []Fit) {
+	for i := range r.Phases {
+		p := &r.Phases[i]
+		for k := range p.Controllers {
+			model := otherTime
+			if p.Controllers[k].Leads {
+				model = leaderTime
+			}
+			p.Controllers[k].Expected = expected(fits, model, r, p) / 1e6
+		}
+	}
+}
+
+// expected is what a model says of a phase.
+func expected(fits []Fit, model string, r *Report, p *Result) float64 {
+	sum := 0.0
+	for _, f := range fits {
+		for _, term := range f.Terms {
+			for _, load := range []regressor{constant, workers, reports, starts, jobs, runningOn} {
+				if f.What == model && load.name == term.Per {
+					sum += term.Slope * load.value(r, p)
+				}
+			}
+		}
+	}
+	return sum
+}
+
 // regressor is something that the load is made of.
 type regressor struct {
 	name  string
@@ -73,8 +108,8 @@
 		value func(*Result) float64
 		terms []regressor
 	}{
-		{"leader, us of processor time", func(p *Result) float64 { return leader(p, cores) }, []regressor{constant, reports, starts, jobs}},
-		{"other controller, us", func(p *Result) float64 { return follower(p, cores) }, []regressor{constant, reports, starts, jobs}},
+		{leaderTime, func(p *Result) float64 { return leader(p, cores) }, []regressor{constant, reports, starts, jobs}},
+		{otherTime, func(p *Result) float64 { return follower(p, cores) }, []regressor{constant, reports, starts, jobs}},
 		{"leader, KB resident", func(p *Result) float64 { return leader(p, kilobytes) }, []regressor{constant, workers, runningOn}},
 		{"other controller, KB resident", func(p *Result) float64 { return follower(p, kilobytes) }, []regressor{constant, workers}},
 		{"leader, bytes moved a second", func(p *Result) float64 { return leader(p, rate) }, []regressor{constant, reports, starts, jobs}},
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -55,13 +55,15 @@
 
 // Share is what a process took in a phase.
 type Share struct {
-	Name    string
-	Leads   bool
-	Cores   float64 // mean
-	Waited  float64 // mean cores that it was ready for and did not get
-	MB      float64 // resident, at the end
-	Sockets int     // at the end
-	KBps    float64 // read and written
+	Name  string
+	Leads bool
+	Cores float64 // mean
+	// What the slopes of earlier runs say of it; 0: none were given.
+	Expected float64
+	Waited   float64 // mean cores that it was ready for and did not get
+	MB       float64 // resident, at the end
+	Sockets  int     // at the end
+	KBps     float64 // read and written
 }
 
 // sample is a look at all processes and counts at one moment.
@@ -164,10 +166,10 @@
 		fmt.Fprintf(w, "%s\t%.0f\t%d\t%.0f\t%d\t%d\t%d\t%.0f\t%.2f\t%.2f\t\n", p.Phase, p.Starts, p.Running, p.Reports,
 			p.Redirected, p.Failed, p.LeasesLost, p.WorkerBytes, p.Stand.Cores, p.Stand.Waited)
 	}
-	fmt.Fprintln(w, "\nphase\tcontroller\tleads\tcores\tof its share\twaited\tMB\tsockets\tof its limit\tKB/s\t")
+	fmt.Fprintln(w, "\nphase\tcontroller\tleads\tcores\tby slopes\tof its share\twaited\tMB\tsockets\tof its limit\tKB/s\t")
 	for _, p := range r.Phases {
 		for _, c := range p.Controllers {
-			fmt.Fprintf(w, "%s\t%s\t%v\t%.3f\t%.2f\t%.3f\t%.0f\t%d\t%.2f\t%.0f\t\n", p.Phase, c.Name, c.Leads, c.Cores, c.Cores/r.Scenario.CPUShare,
+			fmt.Fprintf(w, "%s\t%s\t%v\t%.3f\t%.3f\t%.2f\t%.3f\t%.0f\t%d\t%.2f\t%.0f\t\n", p.Phase, c.Name, c.Leads, c.Cores, c.Expected, c.Cores/r.Scenario.CPUShare,
 				c.Waited, c.MB, c.Sockets, float64(c.Sockets)/r.Scenario.Sockets, c.KBps)
 		}
 	}
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -68,6 +68,10 @@
 			t.Errorf("%s: %v, want %v", fits[0].Terms[i].Per, got, want)
 		}
 	}
+	list[2].Expect(fits)
+	if c := list[2].Phases[6].Controllers; math.Abs(c[0].Expected-c[0].Cores) > 1e-6 || math.Abs(c[1].Expected-c[1].Cores) > 1e-6 {
+		t.Errorf("expected beside measured: %+v", c)
+	}
 	if _, err := Fits(list[:0]); err == nil {
 		t.Error("slopes of nothing")
 	}
