--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -178,6 +179,9 @@
 			for {
 				m, err := ReadFrame(conn)
 				if err != nil {
+					if errors.Is(err, errFrame) {
+						slog.Info("malformed or oversized frame of a peer, its connection is closed", "from", conn.RemoteAddr())
+					}
 					return
 				}
 				handle(m, func(a *Msg) {
