--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -253,7 +253,33 @@
 		})
 		return
 	}
-	room := min(c.limits().TxnOps, tokens)
+	batch, txn := c.collect(min(c.limits().TxnOps, tokens))
+	c.intake.busy = true
+	term, leading := c.term, c.lead.Leading()
+	c.writes.Spend(at, admit.Submits, len(txn.Then))
+	c.env.State().Txn(txn, func(o store.Outcome, a *wire.TxnAnswer) {
+		c.intake.busy = false
+		switch o {
+		case store.OK:
+			c.stateSeen = c.env.Now()
+			// In this term only this node can have ended them since, and would know.
+			c.created(batch, leading && c.lead.Leading() && c.term == term && c.loaded)
+		case store.Failed:
+			c.notCreated(batch, a.Failed)
+		case store.Invalid:
+			c.resubmit(batch, txn.Then)
+		default:
+			// Perhaps created, perhaps not: the user asks again and finds out.
+			for _, s := range batch {
+				s.reply(unavailable)
+			}
+		}
+		c.takeIn()
+	})
+}
+
+// collect takes submissions out of the queue for one transaction of at most so many changes.
+func (c *Core) collect(room int) ([]*submission, *wire.Txn) {
 	txn := &wire.Txn{}
 	var batch []*submission
 	seen := map[string]bool{}
@@ -265,64 +291,52 @@
 	for {
 		s, ok := c.intake.queue.Pop(room-len(txn.Then), len(batch) == 0, fits)
 		if !ok {
-			break
+			return batch, txn
 		}
 		seen[s.job.ID] = true
 		batch = append(batch, s)
 		txn.If = append(txn.If, wire.Guard{Key: jobPrefix + s.job.ID}, wire.Guard{Key: finalPrefix + s.job.ID})
 		txn.Then = append(txn.Then, s.changes...)
 	}
-	c.intake.busy = true
-	term, leading := c.term, c.lead.Leading()
-	c.writes.Spend(at, admit.Submits, len(txn.Then))
-	c.env.State().Txn(txn, func(o store.Outcome, a *wire.TxnAnswer) {
-		c.intake.busy = false
-		switch o {
-		case store.OK:
-			c.stateSeen = c.env.Now()
-			for _, s := range batch {
-				if s.job.Kind != wire.KindService {
-					c.noteAccepted(s.job.ID)
-				}
-				if leading && c.lead.Leading() && c.term == term && c.loaded {
-					// In this term only this node can have ended it since, and would know.
-					c.addSubmitted(s)
-					c.wake()
-				}
-				c.took(s, false)
-				s.reply(Answer{Code: 201, Status: wire.JobStatus{ID: s.job.ID, Phase: wire.PhaseQueued}})
-			}
-		case store.Failed:
-			known := map[string]bool{}
-			for _, key := range a.Failed {
-				known[key[2:]] = true
-			}
-			for _, s := range batch {
-				switch {
-				case known[s.job.ID]:
-					c.took(s, true)
-					c.Status(s.job.ID, func(a Answer) {
-						if a.Code == 404 { // cannot be: its record exists
-							a = unavailable
-						}
-						s.reply(a)
-					})
-				case len(known) == 0:
-					s.reply(unavailable)
-				default:
-					c.await(s)
+}
+
+// created answers submissions whose jobs were written; add: this leader takes them up.
+func (c *Core) created(batch []*submission, add bool) {
+	for _, s := range batch {
+		if s.job.Kind != wire.KindService {
+			c.noteAccepted(s.job.ID)
+		}
+		if add {
+			c.addSubmitted(s)
+			c.wake()
+		}
+		c.took(s, false)
+		s.reply(Answer{Code: 201, Status: wire.JobStatus{ID: s.job.ID, Phase: wire.PhaseQueued}})
+	}
+}
+
+// notCreated deals with submissions of which some are known: those keys exist.
+func (c *Core) notCreated(batch []*submission, failed []string) {
+	known := map[string]bool{}
+	for _, key := range failed {
+		known[key[2:]] = true
+	}
+	for _, s := range batch {
+		switch {
+		case known[s.job.ID]:
+			c.took(s, true)
+			c.Status(s.job.ID, func(a Answer) {
+				if a.Code == 404 { // cannot be: its record exists
+					a = unavailable
 				}
-			}
-		case store.Invalid:
-			c.resubmit(batch, txn.Then)
+				s.reply(a)
+			})
+		case len(known) == 0:
+			s.reply(unavailable)
 		default:
-			// Perhaps created, perhaps not: the user asks again and finds out.
-			for _, s := range batch {
-				s.reply(unavailable)
-			}
+			c.await(s)
 		}
-		c.takeIn()
-	})
+	}
 }
 
 // addSubmitted enters a job that this node, the leader, has just created.
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -85,37 +85,47 @@
 	}()
 	s.w = NewWorld(3, []string{"a", "b"}, 7)
 	for n, line := range strings.Split(text, "\n") {
-		line, _, _ = strings.Cut(line, "#")
-		fields := strings.Fields(line)
-		if len(fields) == 0 {
-			continue
-		}
-		at := Micros(0)
-		s.at = n + 1
-		if fields[0] == "at" {
-			if len(fields) < 3 {
-				panic("at: a time and a verb are needed")
-			}
-			t, err := strconv.ParseFloat(fields[1], 64)
-			if err != nil {
-				panic("at: " + fields[1] + " is no time")
-			}
-			at, fields = Micros(t*1e6), fields[2:]
-		}
-		verb := s.verb(fields[0], parseArgs(fields[1:]))
-		if verb == nil {
-			panic("unknown verb " + fields[0])
-		}
-		do := func() {
-			s.at = n + 1
-			verb()
+		s.read(n+1, line)
+	}
+	return s.run()
+}
+
+// read takes in one line: what it says is done now, or at its time.
+func (s *script) read(number int, line string) {
+	line, _, _ = strings.Cut(line, "#")
+	fields := strings.Fields(line)
+	if len(fields) == 0 {
+		return
+	}
+	at := Micros(0)
+	s.at = number
+	if fields[0] == "at" {
+		if len(fields) < 3 {
+			panic("at: a time and a verb are needed")
 		}
-		if at > 0 {
-			s.w.At(at, do)
-		} else {
-			do()
+		t, err := strconv.ParseFloat(fields[1], 64)
+		if err != nil {
+			panic("at: " + fields[1] + " is no time")
 		}
+		at, fields = Micros(t*1e6), fields[2:]
+	}
+	verb := s.verb(fields[0], parseArgs(fields[1:]))
+	if verb == nil {
+		panic("unknown verb " + fields[0])
+	}
+	do := func() {
+		s.at = number
+		verb()
 	}
+	if at > 0 {
+		s.w.At(at, do)
+	} else {
+		do()
+	}
+}
+
+// run plays the scenario that was read, and judges it.
+func (s *script) run() error {
 	if len(s.w.Config.Params.Teams) == 0 {
 		s.team("core", 0, 0)
 	}
