Arrivals of each account are told to the leader only

Cause: with 470 teams a node's notice, 12 bytes an account, went to every peer each second, most of what idle controllers said to each other; only the leader has a use for it. Change: the others get the refusals alone while a leader is known.

--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -108,6 +108,16 @@
 	return notice
 }
 
+// noticeFor is what a peer is told of this node's notice: the arrivals of each account only
+// the leader has a use for, and with hundreds of teams they are most of what idle controllers
+// say to each other.
+func (c *Core) noticeFor(name string, n *admit.Notice) *admit.Notice {
+	if leader := c.lead.Leader(); n == nil || leader == "" || leader == name {
+		return n
+	}
+	return &admit.Notice{Digest: n.Digest, Refusals: n.Refusals}
+}
+
 // hearNotice takes a peer's notice in and gives it its table, if this node leads.
 func (c *Core) hearNotice(m *peer.Msg) *admit.Table {
 	now := c.env.Now()
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -304,7 +304,7 @@
 	for _, p := range c.cfg.Peers { // in the same order each time
 		name := p.Name
 		greeting := c.self(fb.KindHello)
-		greeting.Notice = notice
+		greeting.Notice = c.noticeFor(name, notice)
 		greeting.Sockets = int(c.env.Sockets() * 1000)
 		c.env.Ask(name, greeting, clock.Second, func(m *peer.Msg) {
 			if m != nil {
--- a/internal/sim/bounds_test.go
+++ b/internal/sim/bounds_test.go
@@ -94,3 +94,29 @@
 		t.Errorf("%d bytes of %d", n, peer.MaxFrame)
 	}
 }
+
+// TestNoticesGoToTheLeader: what each account's submissions ask for is told to the leader, who
+// alone can use it, and to others only while nobody knows who leads.
+func TestNoticesGoToTheLeader(t *testing.T) {
+	w := NewWorld(5, []string{"a"}, 7)
+	s := &script{w: w}
+	s.team("core", 0, 0)
+	s.verb("admission", args{})()
+	for _, n := range w.Nodes {
+		n.Start()
+	}
+	w.Run(10 * sec)
+	clear(w.Notices)
+	w.Run(40 * sec)
+	leader := w.Leader().name
+	if w.Notices[leader] < 100 || len(w.Notices) != 1 {
+		t.Errorf("%v with %s leading", w.Notices, leader)
+	}
+	w.Leader().Kill()
+	w.Run(50 * sec)
+	clear(w.Notices)
+	w.Run(70 * sec)
+	if next := w.Leader().name; next == leader || w.Notices[next] < 50 {
+		t.Errorf("%v with %s leading", w.Notices, next)
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -88,6 +88,8 @@
 	LeasesLost    int // leases of workers with tasks that ended
 	Relayed       int // reports that one controller handed on to another in a batch
 	RelayedOrders int // orders that one controller gave to another
+	// Greetings that tell of each account's arrivals, by the node that they were sent to.
+	Notices map[string]int
 	// Workers report changes at once, at most twice a second, beside their steady reports.
 	ReportChanges bool
 	live          *Live // nil in virtual time
@@ -103,7 +105,7 @@
 // NewWorld makes a world with the given number of controllers.
 func NewWorld(nodes int, zones []string, seed uint64) *World {
 	w := &World{rng: rand.New(rand.NewPCG(seed, 1)), pol: policy.Default(), Users: map[string]*User{},
-		cuts: map[[2]string]Cut{}, deaf: map[string]bool{}, mute: map[string]bool{}, broken: map[string]bool{}, held: map[[2]string][]func(){}}
+		cuts: map[[2]string]Cut{}, deaf: map[string]bool{}, mute: map[string]bool{}, broken: map[string]bool{}, Notices: map[string]int{}, held: map[[2]string][]func(){}}
 	p := &w.Config.Params
 	p.Size, p.Zones = nodes, zones
 	p.Workers.Report, p.Workers.Lease, p.Workers.Cancel = 1, 10, 40
@@ -413,6 +415,9 @@
 func (e *env) Ask(name string, m *peer.Msg, timeout Micros, done func(*peer.Msg)) {
 	w := e.n.w
 	frame := m.Encode() // the real codec, so that it is covered too
+	if m.Notice != nil && len(m.Notice.Accounts) > 0 {
+		w.Notices[name]++
+	}
 	w.Relayed += len(m.Relayed)
 	w.RelayedOrders += len(m.Orders)
 	w.call(e.n.name, name, timeout, func(respond func(func())) {
