--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -31,12 +31,18 @@
 	live     *sim.Live
 	dir      string
 	settings []config.Config
-	procs    []*exec.Cmd
+	procs    []*process
 	before   []Usage // of a controller's earlier processes
 	users    *users
 	report   *Report
 }
 
+// process is a controller's process.
+type process struct {
+	*exec.Cmd
+	ended chan struct{} // closed when it has
+}
+
 // Run plays a scenario and ends by itself, or when ctx does. The report is given as far as
 // it came; its Broken lists the rules that did not hold.
 func Run(ctx context.Context, s *Scenario, o Options) (*Report, error) {
@@ -81,7 +87,7 @@
 	if d.dir, err = os.MkdirTemp("", "scale"); err != nil {
 		return err
 	}
-	d.procs, d.before = make([]*exec.Cmd, d.Controllers), make([]Usage, d.Controllers)
+	d.procs, d.before = make([]*process, d.Controllers), make([]Usage, d.Controllers)
 	for i := range d.settings {
 		raw, err := json.Marshal(&d.settings[i])
 		if err != nil {
@@ -106,21 +112,41 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	d.procs[i] = cmd
+	p := &process{cmd, make(chan struct{})}
+	go func() {
+		cmd.Wait() // how it ended is of no interest: none should by itself
+		close(p.ended)
+	}()
+	d.procs[i] = p
+	return nil
+}
+
+// watch reports a controller that ended by itself, such as one whose port was taken.
+func (d *deployment) watch() error {
+	for i, p := range d.procs {
+		if p == nil {
+			continue
+		}
+		select {
+		case <-p.ended:
+			return fmt.Errorf("%s ended by itself: %v", d.settings[i].Name, p.ProcessState)
+		default:
+		}
+	}
 	return nil
 }
 
 // kill ends a controller without a word; what it took counts on.
 func (d *deployment) kill(i int) {
-	cmd := d.procs[i]
-	if cmd == nil {
+	p := d.procs[i]
+	if p == nil {
 		return
 	}
-	if u, err := usageOf(cmd.Process.Pid); err == nil {
+	if u, err := usageOf(p.Process.Pid); err == nil {
 		d.before[i].add(u)
 	}
-	cmd.Process.Kill()
-	cmd.Wait() // says that it was killed
+	p.Process.Kill()
+	<-p.ended
 	d.procs[i] = nil
 }
 
@@ -172,7 +198,7 @@
 		if time.Since(begin) > rampLimit {
 			return fmt.Errorf("only %d of %d workers came up in %v", up, d.Workers, rampLimit)
 		}
-		if err := sleep(ctx, time.Second); err != nil {
+		if err := errors.Join(d.watch(), sleep(ctx, time.Second)); err != nil {
 			return err
 		}
 	}
@@ -203,7 +229,7 @@
 		if err := sleep(ctx, min(left, time.Second)); err != nil {
 			return err
 		}
-		if err := d.watchMemory(); err != nil {
+		if err := errors.Join(d.watch(), d.watchMemory()); err != nil {
 			return err
 		}
 	}
