Real processes are killed while they relay; controllers' ports below those of connections

Need: relaying on real sockets. A controller that is killed and started again found its port taken now and then when the system had given it to a connection.

--- a/internal/sim/live.go
+++ b/internal/sim/live.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -416,12 +418,17 @@
 	return l, settings, nil
 }
 
+// Ports of controllers lie below those that the system gives to connections: one that is killed
+// and started again would otherwise find its port taken now and then.
+const firstPort, lastPort = 10_000, 30_000
+
 // freePort is an address on loopback that nobody listens at just now.
 func freePort() (string, error) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if ln, err := net.Listen("tcp4", addr); err == nil {
+			return addr, ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port on loopback")
 }
--- a/internal/sim/real_test.go
+++ b/internal/sim/real_test.go
@@ -31,10 +31,11 @@
 	nodes []config.Config
 	procs []*exec.Cmd
 	keep  []*rpc.Client // users who go on using their connections
+	args  []string      // of the program, beside its settings
 }
 
-func deploy(t *testing.T) *deployment {
-	d := &deployment{t: t, dir: t.TempDir(), procs: make([]*exec.Cmd, 3)}
+func deploy(t *testing.T, args []string) *deployment {
+	d := &deployment{t: t, dir: t.TempDir(), procs: make([]*exec.Cmd, 3), args: args}
 	d.bin = filepath.Join(d.dir, "lilacthread")
 	if out, err := exec.Command("go", "build", "-o", d.bin, "lilacthread/cmd/lilacthread").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -68,7 +69,7 @@
 func (d *deployment) settings(i int) string { return filepath.Join(d.dir, d.nodes[i].Name+".json") }
 
 func (d *deployment) start(i int) {
-	cmd := exec.Command(d.bin, "--with", "admission", "--config", d.settings(i))
+	cmd := exec.Command(d.bin, append([]string{"--with", "admission", "--config", d.settings(i)}, d.args...)...)
 	cmd.Stderr = os.Stderr
 	if err := cmd.Start(); err != nil {
 		d.t.Fatal(err)
@@ -131,10 +132,17 @@
 	})
 }
 
+// TestRealRelaying does the first while the controllers relay the workers' reports and orders.
+func TestRealRelaying(t *testing.T) {
+	playReal(t, func(d *deployment, _ int) {
+		d.live.Do(func(w *World) { w.ReportChanges = true })
+	}, "--policy", "../scale/testdata/relay.star")
+}
+
 // playReal runs jobs to their end while processes are killed and the given trouble is made
 // some thirty times a second.
-func playReal(t *testing.T, trouble func(d *deployment, turn int)) {
-	d := deploy(t)
+func playReal(t *testing.T, trouble func(d *deployment, turn int), args ...string) {
+	d := deploy(t, args)
 	jobs := make([]*wire.Job, 40)
 	accepted, over := map[string]bool{}, map[string]bool{}
 	for i := range jobs {
@@ -204,7 +212,7 @@
 // TestRealSecondProcess: a process that is started while one listens at its address ends
 // with an error instead of taking the key of the live one.
 func TestRealSecondProcess(t *testing.T) {
-	d := deploy(t)
+	d := deploy(t, nil)
 	time.Sleep(300 * time.Millisecond)
 	err := exec.Command(d.bin, "--config", d.settings(0)).Run()
 	var exit *exec.ExitError
