--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -116,11 +116,16 @@
 }
 
 func (b *buyer) plan() []Buy {
+	return b.planFor(b.Unplaced[:b.relevant()], b.demand)
+}
+
+// planFor finds room for each of the jobs in turn, then for what services and arrivals ask for.
+func (b *buyer) planFor(jobs []sched.Unplaced, demand func(sched.Unplaced)) []Buy {
 	for _, u := range b.Unplaced {
 		b.left += float64(u.Count) * u.Job.Size()
 	}
-	for _, u := range b.Unplaced[:b.relevant()] {
-		b.demand(u)
+	for _, u := range jobs {
+		demand(u)
 	}
 	b.headroom()
 	b.ahead()
--- a/internal/fleet/lookahead_test.go
+++ b/internal/fleet/lookahead_test.go
@@ -169,20 +169,7 @@
 // sortedPlan is Plan with the sorted list.
 func sortedPlan(in *Input) []Buy {
 	b := &sortedBuyer{buyer: newBuyer(in)}
-	for _, u := range b.Unplaced {
-		b.left += float64(u.Count) * u.Job.Size()
-	}
-	for _, u := range b.Unplaced {
-		b.demand(u)
-	}
-	b.headroom()
-	b.ahead()
-	var out []Buy
-	for k, n := range b.bought {
-		out = append(out, Buy{k, min(n, 50)})
-	}
-	slices.SortFunc(out, func(x, y Buy) int { return x.Kind.compare(y.Kind) })
-	return out
+	return b.planFor(b.Unplaced, b.demand)
 }
 
 var kinds = []wire.MachineType{
