--- a/review/2/main.go
+++ b/review/2/main.go
@@ -83,6 +83,10 @@
 	w := sim.NewWorld(3, []string{"almaty-dc"}, 1)
 	p := &w.Config.Params
 	p.Teams = []config.Team{{Name: "media-ops"}}
+	p.Workers.Report, p.Workers.Lease, p.Workers.Cancel = 4, 22, 52
+	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 900, 400, 32, 32
+	p.Cloud.RPS, p.Cloud.ListLag = 4, 3
+	p.Resources.CPUShare, p.Resources.MemoryMB, p.Resources.FDLimit = 0.336, 322, 3170
 	w.Cloud.Types = []wire.MachineType{{Name: "sapa-mid", CPUs: 16, MemoryGB: 32, CacheGB: 70, FetchRate: 10, Price: 0.79,
 		SpotPrice: 0.2, BootTime: 20, Zones: p.Zones}}
 	w.Cloud.BootTime = 2 * clock.Second
--- a/review/lab/proxy.go
+++ b/review/lab/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -168,15 +169,21 @@
 	panic(http.ErrAbortHandler)
 }
 
+// picked holds the addresses that freePort has returned.
+var picked = map[string]bool{}
+
 // freePort returns an address on loopback where nothing listens at present, below the range of
-// outgoing connections.
+// outgoing connections, and never the same one twice.
 func freePort() (string, error) {
-	var err error
+	err := errors.New("no free port on loopback")
 	for range 100 {
 		addr := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
 		var ln net.Listener
-		if ln, err = net.Listen("tcp4", addr); err == nil {
+		if ln, err = net.Listen("tcp4", addr); err == nil && !picked[addr] {
+			picked[addr] = true
 			return addr, ln.Close()
+		} else if err == nil {
+			ln.Close()
 		}
 	}
 	return "", err
