Log what keeps the owner goroutine busy while it does

Cause: a leader that hangs in one event left no trace. Its log simply stopped, which a process without processor time or one that was stopped looks like as well, and a line after the event may come hours late.

Change: a watch looks at the owner goroutine twice a second. If it finds the same event running twice it logs the functions on its stack, once an event.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	mu          sync.Mutex // guards queue
 	queue       []func()
 	wake        chan struct{}
+	turns       turnWatch
 	core        *controller.Core
 	stateClient *store.HTTPClient
 	cloudClient *cloud.HTTPClient
@@ -66,6 +67,9 @@
 		})
 	}()
 	go func() { serveErrors <- n.httpServer.Serve(listener) }()
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go n.turns.watch(stopped)
 	n.Post(n.core.Start)
 	for {
 		select {
@@ -100,7 +104,7 @@
 			return
 		}
 		for _, f := range batch {
-			f()
+			n.turns.run(f)
 		}
 	}
 }
