A poll about a wide pipeline no longer stops every controller

Cause: mayBeCancelled searched the jobs before a job recursively for each poll and did not remember which it had visited: 30^(k-1) calls for stage k, on the goroutine that owns all state. The lease was not renewed, and the next leader hung in the next poll.

Change: whether a job's cancellation is uncertain is kept with the job and passed on to its dependents when it changes, each once. The checker of the simulator had the same search.

--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -253,7 +253,7 @@
 // dependency; see cancellationMayBeDue.
 func (c *Core) answerFromMemory(id string) (Answer, bool) {
 	if c.Serving() {
-		if j := c.jobs[id]; j != nil && (j.InDoubt() || c.cancellationMayBeDue(j.Submitted) && c.mayBeCancelled(j)) {
+		if j := c.jobs[id]; j != nil && (j.InDoubt() || c.cancellationMayBeDue(j.Submitted) && j.MayBeCancelled()) {
 			return unavailable, true
 		} else if j != nil {
 			return Answer{Code: 200, Status: statusOf(j)}, true
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -17,53 +18,122 @@
 // A dependency that is unknown, not read yet or unfinished keeps the job waiting. The
 // cancellation of a job cancels all its dependents.
 
-// linkDependencies determines which dependencies of a job are still unmet. The job
-// becomes ready if there are none, and is cancelled if one of them was cancelled.
-func (c *Core) linkDependencies(j *sched.Job) {
-	if !j.Active() {
-		return
+// linkLoadedJobs links the waiting jobs of a term's records, all at once.
+func (c *Core) linkLoadedJobs() {
+	var waiting []*sched.Job
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if j := c.jobs[id]; j.HasUnmetDependencies() {
+			waiting = append(waiting, j)
+		}
 	}
-	if !j.HasUnmetDependencies() { // no dependencies at all
-		c.queuePendingTasks(j)
-		c.recordArrival(j)
-		return
+	c.linkDependencies(waiting...)
+}
+
+// linkDependencies links jobs with the jobs in memory that they depend on, and determines which
+// of their dependencies are still unmet. A job becomes ready if there are none, and is cancelled
+// if one of them was cancelled.
+func (c *Core) linkDependencies(jobs ...*sched.Job) {
+	var links []sched.Link
+	for _, j := range jobs {
+		if j.Active() && j.HasUnmetDependencies() {
+			links = append(links, sched.Link{Job: j, Dependencies: c.dependenciesInMemory(j)})
+		}
 	}
-	for _, dependency := range sched.RemoveDependencies(j) {
-		c.archive(dependency)
+	sched.AddDependencies(links...)
+	for _, j := range jobs {
+		switch {
+		case !j.Active(): // cancelled, perhaps along with a job linked before it
+		case !j.HasUnmetDependencies(): // no dependencies at all
+			c.queuePendingTasks(j)
+			c.recordArrival(j)
+		default:
+			c.resolveDependencies(j)
+		}
 	}
-	j.UnmetDependencies = 0
-	ready, dependencyCancelled := j.Submitted, false
+}
+
+// dependenciesInMemory returns the dependencies of a job that are in memory.
+func (c *Core) dependenciesInMemory(j *sched.Job) []*sched.Job {
+	var dependencies []*sched.Job
 	for _, id := range j.Spec.DependsOn {
 		if dependency := c.jobs[id]; dependency != nil {
-			sched.AddDependency(j, dependency)
-			switch dependency.CommittedPhase {
-			case wire.PhaseDone:
-				ready = max(ready, c.endTimeOrNow(dependency.EndedAt))
-			case wire.PhaseCancelled:
-				dependencyCancelled = true
-			default:
-				j.UnmetDependencies++
-			}
-			continue
+			dependencies = append(dependencies, dependency)
 		}
-		final, known := c.finalRecords[id]
-		switch {
-		case !known:
-			j.UnmetDependencies++
+	}
+	return dependencies
+}
+
+// resolveDependencies counts the unmet dependencies of a job that was just linked, reads those
+// whose state is not known, and makes the job ready or cancels it if that is decided already.
+func (c *Core) resolveDependencies(j *sched.Job) {
+	j.UnmetDependencies, j.LastDependencyEnd = 0, j.Submitted
+	dependencyCancelled := false
+	for _, id := range j.Spec.DependsOn {
+		phase, endedAt := "", Micros(0)
+		if dependency := c.jobs[id]; dependency != nil {
+			phase, endedAt = dependency.CommittedPhase, dependency.EndedAt
+		} else if final, known := c.finalRecords[id]; known {
+			phase, endedAt = final.Phase, c.finalEndTime(&final)
+		} else {
+			j.UnreadDependencies++
 			c.readDependency(id, j)
-		case final.Phase == wire.PhaseCancelled:
+		}
+		switch phase {
+		case wire.PhaseCancelled:
 			dependencyCancelled = true
-		case final.EndedAt != 0:
-			ready = max(ready, c.toSteadyTime(final.EndedAt))
+		case wire.PhaseDone:
+			j.LastDependencyEnd = max(j.LastDependencyEnd, c.endTimeOrNow(endedAt))
 		default:
-			ready = c.env.Now()
+			j.UnmetDependencies++
 		}
 	}
+	j.UpdateCancellationState()
 	switch {
 	case dependencyCancelled:
-		c.cancelWithDependents(j, nil)
+		c.cancelWithDependents(nil, j)
 	case j.UnmetDependencies == 0:
-		c.becomeReady(j, ready)
+		c.becomeReady(j, j.LastDependencyEnd)
+	}
+}
+
+// finalEndTime returns when an archived job ended, on the steady clock, or 0 if its final record
+// does not tell.
+func (c *Core) finalEndTime(final *finalRecord) Micros {
+	if final.EndedAt == 0 {
+		return 0
+	}
+	return c.toSteadyTime(final.EndedAt)
+}
+
+// resolveReadDependency handles a dependency of j whose state was unknown: it is in memory by
+// now, or else its final record was read.
+func (c *Core) resolveReadDependency(j *sched.Job, id string, final *finalRecord) {
+	if c.jobs[j.ID] != j || !j.Active() || !j.HasUnmetDependencies() {
+		return
+	}
+	j.UnreadDependencies--
+	phase, endedAt := "", Micros(0)
+	if dependency := c.jobs[id]; dependency != nil {
+		sched.AddDependency(j, dependency)
+		phase, endedAt = dependency.CommittedPhase, dependency.EndedAt
+	} else {
+		phase, endedAt = final.Phase, c.finalEndTime(final)
+	}
+	j.UpdateCancellationState()
+	switch phase {
+	case wire.PhaseCancelled:
+		c.cancelWithDependents(nil, j)
+	case wire.PhaseDone:
+		c.meetDependency(j, c.endTimeOrNow(endedAt))
+	}
+}
+
+// meetDependency handles the committed end of one dependency of a waiting job. The job becomes
+// ready if it was the last one.
+func (c *Core) meetDependency(j *sched.Job, endedAt Micros) {
+	j.LastDependencyEnd = max(j.LastDependencyEnd, endedAt)
+	if j.UnmetDependencies--; j.UnmetDependencies == 0 {
+		c.becomeReady(j, j.LastDependencyEnd)
 	}
 }
 
@@ -97,37 +167,40 @@
 			c.archive(dependency)
 		}
 	}
-	for _, dependent := range slices.Clone(j.DirectDependents) {
+	var cancelled []*sched.Job
+	for _, dependent := range j.DirectDependents() {
 		switch {
 		case !dependent.Active() || !dependent.HasUnmetDependencies():
 		case j.CommittedPhase == wire.PhaseCancelled: // submitted after the cascade had begun
-			c.cancelWithDependents(dependent, nil)
+			cancelled = append(cancelled, dependent)
 		default:
-			if dependent.UnmetDependencies--; dependent.UnmetDependencies == 0 {
-				c.becomeReady(dependent, c.env.Now())
-			}
+			c.meetDependency(dependent, c.env.Now())
 		}
 	}
+	if len(cancelled) > 0 {
+		c.cancelWithDependents(nil, cancelled...)
+	}
 }
 
-// cancelWithDependents cancels a job, unless it has ended, and all its dependents. The
+// cancelWithDependents cancels jobs, unless they have ended, and all their dependents. The
 // jobs are queued in the order of the pipeline, which the committer keeps: no job is
 // reported as cancelled before its dependencies are. onCommitted, if not nil, runs once
 // all cancellations are committed.
-func (c *Core) cancelWithDependents(j *sched.Job, onCommitted func()) {
+func (c *Core) cancelWithDependents(onCommitted func(), jobs ...*sched.Job) {
 	pending := 1
 	committed := func() {
 		if pending--; pending == 0 && onCommitted != nil {
 			onCommitted()
 		}
 	}
-	for _, affected := range append([]*sched.Job{j}, j.Dependents()...) {
+	for _, affected := range sched.WithDependents(jobs...) {
 		if affected.CommittedPhase != "" {
 			continue
 		}
 		if !affected.Ended {
 			slog.Debug("cancelling job", "job", affected.ID)
 			affected.Cancelled, affected.Ended, affected.Queue = true, true, nil
+			affected.UpdateCancellationState()
 			c.dropUnsentPlacements(affected)
 		}
 		pending++
@@ -152,50 +225,63 @@
 	return c.env.Now()-at > clock.FromSeconds(c.cfg.Params.Workers.Cancel)/2
 }
 
-// mayBeCancelled reports whether a job may be cancelled along with a dependency although that is
-// not committed: its cancellation is in progress, or a dependency has not been read yet.
-func (c *Core) mayBeCancelled(j *sched.Job) bool {
-	if len(j.Spec.DependsOn) == 0 || j.CommittedPhase != "" {
+// maxDependencyLookups is the number of dependencies up to which a query looks them up.
+const maxDependencyLookups = 8
+
+// statusLookup is the search of one query through the records of a pipeline. It reads each job
+// once, whatever the number of paths that lead to it.
+type statusLookup struct {
+	visited map[string]bool // jobs whose records were read or are being read
+	failed  bool            // a job is cancelled or its state cannot be determined, which decides the answer
+}
+
+// newStatusLookup returns the lookup of a query for the given job.
+func newStatusLookup(id string) *statusLookup {
+	return &statusLookup{visited: map[string]bool{id: true}}
+}
+
+// visit reports whether a job has not been visited yet, and marks it as visited.
+func (l *statusLookup) visit(id string) bool {
+	if l.visited[id] {
 		return false
 	}
-	if j.Cancelled {
-		return true
-	}
-	return j.HasUnmetDependencies() && slices.ContainsFunc(j.Spec.DependsOn, func(id string) bool {
-		if dependency := c.jobs[id]; dependency != nil {
-			return c.mayBeCancelled(dependency)
-		}
-		_, known := c.finalRecords[id]
-		return !known
-	})
+	l.visited[id] = true
+	return true
 }
 
-// maxDependencyLookups is the number of dependencies up to which a query looks them up.
-const maxDependencyLookups = 8
-
 // answerUnlessCancelled gives the answer for a job that has not started, based on its record,
-// unless a dependency is cancelled or its state cannot be determined.
-func (c *Core) answerUnlessCancelled(record []byte, answer Answer, reply func(Answer)) {
+// unless a dependency is cancelled or its state cannot be determined. What a job visited earlier
+// in the same lookup contributes is part of the answer of the job from which it was visited.
+func (c *Core) answerUnlessCancelled(lookup *statusLookup, record []byte, answer Answer, reply func(Answer)) {
 	var rec jobRecord
 	switch err := msgpack.Unmarshal(record, &rec); {
 	case err == nil && (len(rec.Job.DependsOn) == 0 && rec.ExtraDependencyKeys == 0 || !c.cancellationMayBeDue(c.toSteadyTime(rec.AcceptedAt))):
 		reply(answer)
 		return
-	case err != nil || rec.ExtraDependencyKeys > 0 || len(rec.Job.DependsOn) > maxDependencyLookups:
+	case lookup.failed || err != nil || rec.ExtraDependencyKeys > 0 || len(rec.Job.DependsOn) > maxDependencyLookups:
+		lookup.failed = true
 		reply(unavailable)
 		return
 	}
-	pending := len(rec.Job.DependsOn)
+	pending := 1
+	finish := func() {
+		if pending--; pending == 0 {
+			reply(answer)
+		}
+	}
 	for _, id := range rec.Job.DependsOn {
-		c.lookupStatus(id, func(dependency Answer) {
+		if !lookup.visit(id) {
+			continue
+		}
+		pending++
+		c.lookupRecord(lookup, id, func(dependency Answer) {
 			if dependency.Code != 200 || dependency.Status.Phase == wire.PhaseCancelled {
-				answer = unavailable
-			}
-			if pending--; pending == 0 {
-				reply(answer)
+				lookup.failed, answer = true, unavailable
 			}
+			finish()
 		})
 	}
+	finish()
 }
 
 // dependencyRetryDelay is the time after which a failed read of a dependency is retried.
@@ -238,9 +324,7 @@
 		waiting := c.finalReadWaiters[id]
 		delete(c.finalReadWaiters, id)
 		for _, j := range waiting {
-			if c.jobs[j.ID] == j && j.HasUnmetDependencies() {
-				c.linkDependencies(j)
-			}
+			c.resolveReadDependency(j, id, final)
 		}
 		c.committer.startTransaction()
 	})
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -241,7 +241,7 @@
 // not load. A job on which others still depend is kept, so that a new leader need not read
 // its final record separately.
 func (c *Core) archive(j *sched.Job) {
-	if j.CommittedPhase == "" || j.PlacedCount > 0 || len(j.DirectDependents) > 0 || c.jobs[j.ID] != j {
+	if j.CommittedPhase == "" || j.PlacedCount > 0 || j.HasDependents() || c.jobs[j.ID] != j {
 		return
 	}
 	final := finalRecord{JobStatus: wire.JobStatus{ID: j.ID, Phase: j.CommittedPhase, Done: j.DoneCount}, Service: j.Service()}
@@ -310,11 +310,7 @@
 		if c.format.level >= LevelTasks {
 			c.migrateRecords()
 		}
-		for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-			if j := c.jobs[id]; j != nil && j.HasUnmetDependencies() {
-				c.linkDependencies(j)
-			}
-		}
+		c.linkLoadedJobs()
 		for _, j := range c.jobs {
 			c.archive(j)
 		}
--- a/internal/controller/user_requests.go
+++ b/internal/controller/user_requests.go
@@ -448,6 +448,12 @@
 // lookupStatus reads a job's status from the state service: first the job's record, then
 // its final record. Archiving moves a job in the same direction, so it cannot be missed.
 func (c *Core) lookupStatus(id string, reply func(Answer)) {
+	c.lookupRecord(newStatusLookup(id), id, reply)
+}
+
+// lookupRecord is lookupStatus for one job of a lookup, which may visit the jobs that it depends
+// on as well.
+func (c *Core) lookupRecord(lookup *statusLookup, id string, reply func(Answer)) {
 	if !c.stateOK() || !c.readBudget.Allow(stdTime(c.env.Now()), admit.UserReads) {
 		reply(unavailable)
 		return
@@ -483,7 +489,7 @@
 					c.requestSchedulingPass()
 				}
 				if progress.ReadyAt == 0 {
-					c.answerUnlessCancelled(record, Answer{Code: 200, Status: status}, reply)
+					c.answerUnlessCancelled(lookup, record, Answer{Code: 200, Status: status}, reply)
 					return
 				}
 			}
@@ -551,7 +557,7 @@
 		c.commitJobEnd(j, answer)
 		return
 	}
-	c.cancelWithDependents(j, answer)
+	c.cancelWithDependents(answer, j)
 }
 
 // commitJobEnd writes the end of a job. Once that is committed, it calls onCommitted,
@@ -570,6 +576,7 @@
 			if j.Cancelled {
 				j.CommittedPhase = wire.PhaseCancelled
 			}
+			j.UpdateCancellationState()
 			j.EndedAt = c.endTimeOrNow(j.EndedAt)
 			slog.Debug("job over", "job", j.ID, "team", j.Spec.Team, "class", j.Spec.Class, "kind", j.Spec.Kind, "phase", j.CommittedPhase, "tasks", len(j.Tasks), "placed", j.PlacedCount, "cpus", j.Spec.CPUs,
 				"submitted", j.Submitted.Seconds(), "ready", j.ReadyAt.Seconds(), "began", j.StartedAt.Seconds(), "over", j.EndedAt.Seconds(),
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -44,10 +44,16 @@
 	StarvationDeadline Micros   // when the job goes before others if it has not begun, whatever its targets; 0 for never
 	Estimate           Micros   // expected run time of one task
 
-	Dependencies      []*Job // jobs that it depends on, except archived and unknown ones; emptied when it is ready or over
-	DirectDependents  []*Job // jobs that depend on it directly
-	UnmetDependencies int    // dependencies not known to be done; 0 means ready
-	dependentsRank    Micros // the largest UpwardRank among DirectDependents
+	Dependencies       []*Job // jobs that it depends on, except archived and unknown ones; emptied when it is ready or over
+	directDependents   []*Job // jobs that depend on it directly, with some that don't any more, see DirectDependents
+	removedDependents  int    // entries of directDependents that don't depend on it any more
+	UnmetDependencies  int    // dependencies not known to be done; 0 means ready
+	UnreadDependencies int    // dependencies whose state is not known because their final records are not read yet
+	LastDependencyEnd  Micros // the latest known end of a dependency; at least Submitted once the dependencies are known
+	dependentsRank     Micros // the largest UpwardRank among its dependents
+
+	cancellationUncertain bool // see MayBeCancelled
+	uncertainDependencies int  // entries of Dependencies whose cancellation is uncertain
 
 	Tasks       []Task
 	Queue       []int32 // indexes of pending tasks, in the order of placement
--- a/internal/sched/plan.go
+++ b/internal/sched/plan.go
@@ -730,7 +730,7 @@
 
 // inPipeline reports whether the job is part of a pipeline. A task of it that is lost with
 // a spot machine would delay all jobs after it.
-func (j *Job) inPipeline() bool { return len(j.Spec.DependsOn) > 0 || len(j.DirectDependents) > 0 }
+func (j *Job) inPipeline() bool { return len(j.Spec.DependsOn) > 0 || j.HasDependents() }
 
 // prefersOnDemand reports whether a job uses on-demand machines before spot machines where
 // both have room. That holds for jobs in pipelines, and for arrays without checkpoints that
--- a/internal/sim/checker.go
+++ b/internal/sim/checker.go
@@ -100,15 +100,22 @@
 }
 
 // anyUpstream reports whether a condition holds for a job or for any job that it depends
-// on, directly or indirectly.
+// on, directly or indirectly. It visits each job once.
 func (c *Checker) anyUpstream(j *trackedJob, holds func(*trackedJob) bool) bool {
-	if holds(j) {
-		return true
-	}
-	for _, id := range j.job.DependsOn {
-		if n := c.jobs[id]; n != nil && n != j && c.anyUpstream(n, holds) {
+	seen := map[*trackedJob]bool{j: true}
+	unvisited := []*trackedJob{j}
+	for len(unvisited) > 0 {
+		n := unvisited[len(unvisited)-1]
+		unvisited = unvisited[:len(unvisited)-1]
+		if holds(n) {
 			return true
 		}
+		for _, id := range n.job.DependsOn {
+			if dependency := c.jobs[id]; dependency != nil && !seen[dependency] {
+				seen[dependency] = true
+				unvisited = append(unvisited, dependency)
+			}
+		}
 	}
 	return false
 }
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -283,6 +283,7 @@
 		"submit":         (*script).doSubmit,
 		"many":           (*script).doMany,
 		"burst":          (*script).doBurst,
+		"pipeline":       (*script).doPipeline,
 		"resubmit":       (*script).doResubmit,
 		"poll":           (*script).doPoll,
 		"cancel":         (*script).doCancel,
--- a/internal/sim/script_expect.go
+++ b/internal/sim/script_expect.go
@@ -18,6 +18,7 @@
 	"known-refused": (*script).expectKnownRefused,
 	"answers":       (*script).expectAnswers,
 	"value":         (*script).expectValue,
+	"refused-polls": (*script).expectRefusedPolls,
 	"requests":      (*script).expectRequests,
 	"term":          (*script).expectTerm,
 	"relayed":       (*script).expectRelayed,
@@ -136,6 +137,16 @@
 	return nil
 }
 
+// expectRefusedPolls checks that the number of users' polls that got another status than 200 is
+// between min and max.
+func (s *script) expectRefusedPolls(a args) error {
+	w := s.world
+	if w.RefusedPolls > int(a.number("max", 0)) || w.RefusedPolls < int(a.number("min", 0)) {
+		return fmt.Errorf("at %v s: %d polls were refused, outside the expected range", w.now.Seconds(), w.RefusedPolls)
+	}
+	return nil
+}
+
 // expectRequests checks that the number of requests to the state service in its busiest second is
 // between min and max.
 func (s *script) expectRequests(a args) error {
--- a/internal/sim/script_users.go
+++ b/internal/sim/script_users.go
@@ -61,6 +61,34 @@
 	}
 }
 
+// pipelineStageInterval is the time between the submissions of a pipeline's stages.
+const pipelineStageInterval = 2 * second
+
+// doPipeline submits a pipeline of "stages" stages with "width" jobs each, with consecutive IDs
+// from the given one on. Each job awaits all jobs of the stage before.
+func (s *script) doPipeline(a args) func() {
+	w := s.world
+	first, err := strconv.Atoi(strings.TrimPrefix(a.word(0), "req-"))
+	if err != nil {
+		panic("pipeline: invalid job ID " + a.word(0))
+	}
+	return func() {
+		width := int(a.number("width", 2))
+		var previous []string
+		for stage := range int(a.number("stages", 2)) {
+			var current []string
+			for i := range width {
+				job := s.parseJob(a)
+				job.ID = fmt.Sprintf("req-%06d", first+stage*width+i)
+				job.DependsOn = previous
+				current = append(current, job.ID)
+				w.At(w.now+Micros(stage)*pipelineStageInterval, func() { w.Submit(job) })
+			}
+			previous = current
+		}
+	}
+}
+
 // doResubmit repeats submissions: unchanged, with tasks that fit on no machine ("other"), with only
 // one task ("less"), or without a required field ("malformed").
 func (s *script) doResubmit(a args) func() {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -1,7 +1,8 @@
 // Package sim runs controllers in virtual time against simulated versions of everything
 // around them: the state service, the cloud, the workers and the users. Scenario scripts
 // inject faults, and a Checker reports violations of the protocol's rules. Nothing in
-// virtual time sleeps or reads a clock, so every run of a scenario has the same sequence of events.
+// virtual time sleeps or reads a clock, so every run of a scenario has the same sequence of events;
+// only the check that no event keeps its controller busy for long uses real time.
 // RealTimeServer serves the same environment over HTTP to real controller processes.
 //
 // The package is no part of the production program: tests and the load test in
@@ -15,6 +16,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"time"
 
 	"lilacthread/internal/clock"
 	"lilacthread/internal/config"
@@ -92,6 +94,7 @@
 	// repeat it; 0: as long as Retry-After says, between 1 s and 30 s.
 	RetryInterval   Micros
 	ProbeAnswers    int      // answers to requests of the prober
+	RefusedPolls    int      // polls of users that got another status than 200
 	SubmitLatencies []Micros // time from each submission to its answer
 	// AcceptedJobRefusals counts submissions refused with 429 although their job is accepted.
 	AcceptedJobRefusals   int
@@ -187,11 +190,22 @@
 	for len(w.queue) > 0 && w.queue[0].at <= until {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
+		startedAt := time.Now()
 		e.run()
+		w.checkBusyTime(time.Since(startedAt))
 	}
 	w.now = until
 }
 
+// checkBusyTime reports a violation if an event has kept its controller busy for so long in real
+// time that a leader would have lost its lease, which it can't renew meanwhile.
+func (w *World) checkBusyTime(busy time.Duration) {
+	if limit := w.policy.LeaderTTL.Duration(); busy > limit {
+		w.Checker.addViolation("busy", "an event took %.1f s of real time, more than the %.1f s of a leader's lease", busy.Seconds(), limit.Seconds())
+		w.queue = nil
+	}
+}
+
 // linkKey returns the key of the link between two hosts, the same in both directions.
 func linkKey(a, b string) [2]string {
 	if a > b {
@@ -672,6 +686,8 @@
 			if a.Code == 200 {
 				u.LastPhase = a.Status.Phase
 				u.notePhase(a.Status.Phase)
+			} else {
+				u.world.RefusedPolls++
 			}
 			if then != nil {
 				then()
