Bound the time of a plan of rentals, whatever users announce

Change: machines that pickKind chooses alike are counted at once, with the same result; a plan stops after 50,000 waiting tasks or 5 million examined entries, and later passes go on.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,11 +88,27 @@
 	// batch work that waits no longer than this.
 	minUsefulWait   sched.Micros
 	remainingDemand float64 // CPUs of the waiting tasks that are not planned yet
+	plannedTasks    int     // waiting tasks planned so far
 }
 
+// Limits of one plan. Work beyond them is planned once what precedes it has found a place. They keep
+// the time that a plan takes from growing with the work that users announce.
+const (
+	maxPlannedTasks    = 50_000    // waiting tasks
+	maxEntriesExamined = 5_000_000 // see entriesExamined
+)
+
+// exhausted reports whether the plan has reached its limits.
+func (p *rentalPlanner) exhausted() bool {
+	return p.plannedTasks >= maxPlannedTasks || p.entriesExamined() >= maxEntriesExamined
+}
+
+// maxRentalCount is the protocol's limit of machines in one request.
+const maxRentalCount = 50
+
 // Plan decides what to rent now. Waiting tasks are first assigned to incoming
 // machines, then to capacity that running tasks will free in time, and only then to
-// new machines. One request asks for at most 50 machines.
+// new machines. One request asks for at most maxRentalCount machines.
 func Plan(in *Input) []RentalRequest { return newRentalPlanner(in).plan() }
 
 // newRentalPlanner collects the incoming machines and the supply of batch capacity.
@@ -142,7 +158,7 @@
 	p.rentForExpectedLoad()
 	var out []RentalRequest
 	for k, n := range p.requested {
-		out = append(out, RentalRequest{k, min(n, 50)})
+		out = append(out, RentalRequest{k, min(n, maxRentalCount)})
 	}
 	slices.SortFunc(out, func(x, y RentalRequest) int { return x.Kind.compare(y.Kind) })
 	return out
@@ -233,6 +249,10 @@
 		queues = p.lookahead().allowedQueues(j)
 	}
 	for range u.Count {
+		if p.exhausted() {
+			return
+		}
+		p.plannedTasks++
 		p.remainingDemand -= j.TaskCPUs()
 		if machine := p.placeOnIncoming(j, need, placedByZone, &next); machine != nil {
 			if p.addRelease(machine, j) {
@@ -383,7 +403,8 @@
 	p.rentUntil(p.Headroom, availableCPUs, p.Service, nil)
 }
 
-// rentUntil rents machines that suit a task of j until haveCPUs reaches wantCPUs.
+// rentUntil rents machines that suit a task of j until haveCPUs reaches wantCPUs. Its cost does
+// not grow with the number of machines.
 func (p *rentalPlanner) rentUntil(wantCPUs, haveCPUs float64, j *sched.Job, placedByZone map[string]int) {
 	for haveCPUs < wantCPUs {
 		p.remainingDemand = wantCPUs - haveCPUs - j.TaskCPUs()
@@ -391,9 +412,29 @@
 		if !ok {
 			return
 		}
-		p.requested[k]++
-		haveCPUs += p.machineType(k.Type).CPUs
+		machineCPUs := p.machineType(k.Type).CPUs
+		count := p.identicalPicks(j, machineCPUs)
+		reachedCPUs := haveCPUs + count*machineCPUs
+		if reachedCPUs <= haveCPUs {
+			return // rounding: the machines are too small to matter
+		}
+		haveCPUs = reachedCPUs
+		p.requested[k] += int(min(count, maxRentalCount))
+	}
+}
+
+// identicalPicks returns how many machines in a row pickKind chooses alike, at least one, if each
+// brings machineCPUs and lowers the remaining demand by that. The remaining demand matters to the
+// choice only once it is less than the largest machine could take.
+func (p *rentalPlanner) identicalPicks(j *sched.Job, machineCPUs float64) float64 {
+	largestCPUs, need := 0.0, j.Need()
+	for i := range p.Catalog {
+		largestCPUs = max(largestCPUs, p.Catalog[i].CPUs, need.DominantCPUs(&p.Catalog[i]))
+	}
+	if surplusCPUs := p.remainingDemand - largestCPUs; surplusCPUs > 0 && machineCPUs > 0 {
+		return 1 + math.Floor(surplusCPUs/machineCPUs)
 	}
+	return 1
 }
 
 // rentForExpectedLoad rents machines up to BatchLoad while a gang or array waits that
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"lilacthread/internal/clock"
 	"lilacthread/internal/sched"
@@ -56,3 +58,54 @@
 		t.Errorf("rented %d machines for a service alone, want at most 1", n)
 	}
 }
+
+// planTimeLimit is how long a plan may take: a leader that is busy for longer loses its lease.
+const planTimeLimit = 3 * time.Second
+
+// TestPlanTimeIsBounded guards against plans whose cost grows with the announced work: the leader
+// makes one four times a second on the goroutine that also renews its lease, and users announce what
+// they like.
+func TestPlanTimeIsBounded(t *testing.T) {
+	catalog := []wire.MachineType{{Name: "m", CPUs: 16, MemoryGB: 64, Price: 1, SpotPrice: 0.2, BootTime: 50, Zones: []string{"a"}}}
+	newArray := func(id string, tasks int) sched.Unplaced {
+		j := &sched.Job{ID: id, ReadyAt: clock.Second, StartTargets: []sched.Micros{26 * clock.Second}, LastStartTarget: 26 * clock.Second, Deadline: clock.Forever,
+			Estimate: 3600 * clock.Second, Spec: &wire.Job{Kind: wire.KindArray, CPUs: 4, MemoryGB: 4, Tasks: tasks, Spot: true}, Tasks: make([]sched.Task, tasks)}
+		j.ComputeSize(catalog)
+		return sched.Unplaced{Job: j, Count: tasks}
+	}
+	var manyTasks []sched.Unplaced
+	for i := range 40 {
+		manyTasks = append(manyTasks, newArray(fmt.Sprint(i), 100_000))
+	}
+	service := &sched.Job{ID: "s", Priority: wire.PriorityProduction, Deadline: clock.Forever, Spec: &wire.Job{Kind: wire.KindService, CPUs: 2, MemoryGB: 2, Tasks: 1}}
+	service.ComputeSize(catalog)
+	refused := map[MachineKind]sched.Micros{{"m", "a", false}: clock.Forever, {"m", "a", true}: clock.Forever}
+	for name, in := range map[string]*Input{
+		"expected load":                  {BatchLoad: 1e12, Unplaced: []sched.Unplaced{newArray("a", 4)}},
+		"expected load beyond rounding":  {BatchLoad: 1e300, Unplaced: []sched.Unplaced{newArray("a", 4)}},
+		"headroom for services":          {Headroom: 1e12, Service: service},
+		"four million waiting tasks":     {Unplaced: manyTasks},
+		"four million that can't rent":   {Unplaced: manyTasks, RefusedUntil: refused},
+		"four million before a service":  {Unplaced: append(manyTasks[:40:40], sched.Unplaced{Job: service, Count: 1}), RefusedUntil: refused},
+		"a pending rental for all tasks": {Unplaced: manyTasks, PendingRentals: []PendingRental{{MachineKind{"m", "a", true}, 50}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in.Now, in.Catalog = clock.Second, catalog
+			if in.RefusedUntil == nil {
+				in.RefusedUntil = map[MachineKind]sched.Micros{}
+			}
+			done := make(chan []RentalRequest, 1)
+			startedAt := time.Now()
+			go func() { done <- Plan(in) }()
+			select {
+			case requests := <-done:
+				t.Logf("%v for requests %v", time.Since(startedAt), requests)
+				if len(requests) == 0 && in.RefusedUntil[MachineKind{"m", "a", true}] == 0 {
+					t.Error("nothing is rented")
+				}
+			case <-time.After(planTimeLimit):
+				t.Fatalf("the plan takes longer than %v", planTimeLimit)
+			}
+		})
+	}
+}
