Link the jobs of one message at once, and search no pipeline in vain

Change: addJobRecords links what it has added together; the search begins only from jobs that have changed.

--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -366,8 +366,8 @@
 	})
 }
 
-// addJobRecords adds the jobs among the items. If progress is not nil, it receives the
-// progress records among the items, by job id.
+// addJobRecords adds the jobs among the items and, once the term's records are loaded, links them.
+// If progress is not nil, it receives the progress records among the items, by job id.
 func (c *Core) addJobRecords(items []wire.Item, progress map[string]*progressRecord) {
 	dependencyValues := map[string][][]byte{}
 	for i := range items {
@@ -376,11 +376,14 @@
 			dependencyValues[id] = append(dependencyValues[id], items[i].Value)
 		}
 	}
+	var added []*sched.Job
 	for i := range items {
 		id, tail, found := strings.Cut(strings.TrimPrefix(items[i].Key, jobPrefix), "/")
 		switch {
 		case !found:
-			c.addJobRecord(items[i].Value, dependencyValues[id])
+			if j := c.addJobRecord(items[i].Value, dependencyValues[id]); j != nil {
+				added = append(added, j)
+			}
 		case "/"+tail == progressSuffix && progress != nil:
 			p := new(progressRecord)
 			if msgpack.Unmarshal(items[i].Value, p) == nil {
@@ -388,6 +391,9 @@
 			}
 		}
 	}
+	if c.loaded {
+		c.linkDependencies(added...)
+	}
 }
 
 // awaitCatalog calls then once the catalog of machine types is known, without which no
@@ -454,18 +460,19 @@
 	return rec, nil
 }
 
-// addJobRecord adds a job from its record, unless it is known already.
-func (c *Core) addJobRecord(value []byte, dependencyValues [][]byte) {
+// addJobRecord adds a job from its record, without linking it. It returns nil if the job is known
+// already or the record cannot be read.
+func (c *Core) addJobRecord(value []byte, dependencyValues [][]byte) *sched.Job {
 	rec, err := decodeJobRecord(value, dependencyValues)
 	if err != nil {
 		slog.Error("job record cannot be read", "err", err)
-		return
+		return nil
 	}
 	if c.jobs[rec.Job.ID] != nil {
-		return
+		return nil
 	}
 	if _, final := c.finalRecords[rec.Job.ID]; final {
-		return
+		return nil
 	}
 	spec := &rec.Job
 	if c.format.maxLevel < LevelTasks {
@@ -489,9 +496,7 @@
 	} else {
 		j.UnmetDependencies = 1 // until linkDependencies has run
 	}
-	if c.loaded {
-		c.linkDependencies(j)
-	}
+	return j
 }
 
 // setReady marks a job as ready and computes the target times of its objectives, which
--- a/internal/sched/graph.go
+++ b/internal/sched/graph.go
@@ -140,24 +140,35 @@
 }
 
 // computeInOrder calls compute for the given jobs, and for those that next returns for a job
-// whose computation reports a change. Each job is computed at most once, after all jobs from
-// which it can be reached.
+// whose computation reports a change. Each of these is computed at most once more, after all jobs
+// from which it can be reached. Nothing is searched if the given jobs don't change.
 //
 // Following every change at once instead, depth first, computes a job anew for each path that
 // leads to it: with stages of thirty jobs, thirty times more often from stage to stage.
 func computeInOrder(jobs []*Job, next func(*Job) []*Job, compute func(*Job) bool) {
-	if len(jobs) == 0 {
-		return
+	due := map[*Job]bool{}
+	var from []*Job
+	computeIfDue := func(j *Job) {
+		if !compute(j) {
+			return
+		}
+		for _, n := range next(j) {
+			if !due[n] {
+				due[n] = true
+				from = append(from, n)
+			}
+		}
 	}
-	due := make(map[*Job]bool, len(jobs))
+	computed := make(map[*Job]bool, len(jobs))
 	for _, j := range jobs {
-		due[j] = true
+		if !computed[j] {
+			computed[j] = true
+			computeIfDue(j)
+		}
 	}
-	for _, j := range reachable(jobs, next) {
-		if due[j] && compute(j) {
-			for _, n := range next(j) {
-				due[n] = true
-			}
+	for _, j := range reachable(from, next) {
+		if due[j] {
+			computeIfDue(j)
 		}
 	}
 }
