Measure the largest report by its size in JSON

Cause: the simulator compared a report's size in MessagePack with the largest one in JSON before it computed the latter, so a report could be the largest and not be noticed.

Change: each report's size in JSON is taken. The bound stays.

--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -192,9 +192,7 @@
 func (w *World) deliverReport(n *Node, rep *wire.Report, answered func(controller.ReportAnswer), fail func()) {
 	delay := w.ReportDelay
 	body := wire.Encode(rep)
-	if len(body) > w.LargestReport { // a body in MessagePack is smaller than in JSON
-		w.LargestReport = max(w.LargestReport, wire.JSONSize(body))
-	}
+	w.LargestReport = max(w.LargestReport, wire.JSONSize(body))
 	w.scheduleReportCopy(rep)
 	w.call(rep.Machine, n.name, 4*second, func(respond func(func())) {
 		w.After(delay, func() {
