--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -69,20 +69,16 @@
 	j.UnmetDependencies, j.LastDependencyEnd = 0, j.Submitted
 	dependencyCancelled := false
 	for _, id := range j.Spec.DependsOn {
-		phase, endedAt := "", Micros(0)
-		if dependency := c.jobs[id]; dependency != nil {
-			phase, endedAt = dependency.CommittedPhase, dependency.EndedAt
-		} else if final, known := c.finalRecords[id]; known {
-			phase, endedAt = final.Phase, c.finalEndTime(&final)
-		} else {
+		dependency, final := c.jobs[id], c.cachedFinalRecord(id)
+		if dependency == nil && final == nil {
 			j.UnreadDependencies++
 			c.readDependency(id, j)
 		}
-		switch phase {
+		switch phase, endedAt := c.committedEnd(dependency, final); phase {
 		case wire.PhaseCancelled:
 			dependencyCancelled = true
 		case wire.PhaseDone:
-			j.LastDependencyEnd = max(j.LastDependencyEnd, c.endTimeOrNow(endedAt))
+			j.LastDependencyEnd = max(j.LastDependencyEnd, endedAt)
 		default:
 			j.UnmetDependencies++
 		}
@@ -96,13 +92,19 @@
 	}
 }
 
-// finalEndTime returns when an archived job ended, on the steady clock, or 0 if its final record
-// does not tell.
-func (c *Core) finalEndTime(final *finalRecord) Micros {
-	if final.EndedAt == 0 {
-		return 0
+// committedEnd returns the final phase of a dependency that is in memory, or else has a final record,
+// and when it ended on the steady clock. The phase is "" if the dependency has not ended or
+// neither is known.
+func (c *Core) committedEnd(dependency *sched.Job, final *finalRecord) (phase string, endedAt Micros) {
+	switch {
+	case dependency != nil:
+		return dependency.CommittedPhase, c.endTimeOrNow(dependency.EndedAt)
+	case final == nil:
+		return "", 0
+	case final.EndedAt == 0:
+		return final.Phase, c.env.Now()
 	}
-	return c.toSteadyTime(final.EndedAt)
+	return final.Phase, c.toSteadyTime(final.EndedAt)
 }
 
 // resolveReadDependency handles a dependency of j whose state was unknown: it is in memory by
@@ -112,19 +114,16 @@
 		return
 	}
 	j.UnreadDependencies--
-	phase, endedAt := "", Micros(0)
-	if dependency := c.jobs[id]; dependency != nil {
+	dependency := c.jobs[id]
+	if dependency != nil {
 		sched.AddDependency(j, dependency)
-		phase, endedAt = dependency.CommittedPhase, dependency.EndedAt
-	} else {
-		phase, endedAt = final.Phase, c.finalEndTime(final)
 	}
 	j.UpdateCancellationState()
-	switch phase {
+	switch phase, endedAt := c.committedEnd(dependency, final); phase {
 	case wire.PhaseCancelled:
 		c.cancelWithDependents(nil, j)
 	case wire.PhaseDone:
-		c.meetDependency(j, c.endTimeOrNow(endedAt))
+		c.meetDependency(j, endedAt)
 	}
 }
 
--- a/internal/controller/failure_detection.go
+++ b/internal/controller/failure_detection.go
@@ -36,7 +36,7 @@
 // missedRenewals reports whether a worker that begins a new session can't have received the
 // answer to its last report: the lease that the answer renewed would not have expired yet.
 func (c *Core) missedRenewals(m *sched.Machine, now Micros) bool {
-	return m.Acked && now-m.LastAnsweredReportAt < c.cfg.WorkerLease()-renewalDelayAllowance-c.leaseMargin()
+	return m.Acked() && now-m.LastAnsweredReportAt < c.cfg.WorkerLease()-renewalDelayAllowance-c.leaseMargin()
 }
 
 // probePartitions probes machines that show symptoms of a one-way partition.
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -222,7 +222,7 @@
 		case m.Downlink.Unrecoverable(now, c.cfg.WorkerLease()) && (partitioned*4 <= up || partitioned == 1):
 			// Many partitioned machines at once likewise point to a fault on the controllers' side.
 			reason = "one-way partition"
-		case !m.Acked && m.Busy() && settled:
+		case !m.Acked() && m.Busy() && settled:
 			reason = "does not acknowledge this term"
 		case onlyUnanswered:
 			reason = "holds only unanswered launches"
--- a/internal/controller/order_fence.go
+++ b/internal/controller/order_fence.go
@@ -36,13 +36,13 @@
 	raisedAt Micros // when the token was last raised, or the raise was last queued
 }
 
-// recordDirectLaunches records the launches of a command batch that is sent with the given token.
-func (c *Core) recordDirectLaunches(m *sched.Machine, starts []wire.Command, token uint64) {
+// recordDirectLaunches records the launches of a command batch that is sent with the present token.
+func (c *Core) recordDirectLaunches(m *sched.Machine, starts []wire.Command) {
 	if len(starts) > 0 && m.DirectLaunches == nil {
 		m.DirectLaunches = map[sched.Attempt]uint64{}
 	}
 	for _, start := range starts {
-		m.DirectLaunches[sched.Attempt{Task: start.Task, Number: start.Attempt}] = token
+		m.DirectLaunches[sched.Attempt{Task: start.Task, Number: start.Attempt}] = c.elector.Token()
 	}
 	if len(m.DirectLaunches) >= maxUnfencedLaunches/2 {
 		c.fence.needed, c.fence.urgent = true, true
--- a/internal/controller/order_fence_test.go
+++ b/internal/controller/order_fence_test.go
@@ -32,9 +32,9 @@
 	c := newFencingCore(7)
 	m := &sched.Machine{ID: "m-000001", Session: 1, Placements: map[string]*sched.Placement{}}
 	launched, answered := sched.Attempt{Task: "req-000001/0", Number: 1}, sched.Attempt{Task: "req-000001/1", Number: 2}
-	c.recordDirectLaunches(m, []wire.Command{{Op: wire.OpStart, Task: launched.Task, Attempt: launched.Number}}, 7)
+	c.recordDirectLaunches(m, []wire.Command{{Op: wire.OpStart, Task: launched.Task, Attempt: launched.Number}})
 	if !c.mayForget(m, answered) || c.fence.needed {
-		t.Error("an attempt that was launched by the answer to a report must be kept")
+		t.Error("an attempt that was launched by the answer to a report is kept, or a higher token requested for it")
 	}
 	for _, token := range []uint64{5, 7} {
 		recordToken(m, token)
@@ -54,7 +54,7 @@
 	if !c.mayForget(m, launched) || len(m.DirectLaunches) != 0 {
 		t.Error("the attempt is kept although the worker refuses its launch")
 	}
-	c.recordDirectLaunches(m, []wire.Command{{Op: wire.OpStart, Task: launched.Task, Attempt: launched.Number}}, 8)
+	c.recordDirectLaunches(m, []wire.Command{{Op: wire.OpStart, Task: launched.Task, Attempt: launched.Number}})
 	recordToken(m, 7) // of a late report
 	if m.Token != 8 || c.mayForget(m, launched) {
 		t.Error("a late report changes what the worker must keep")
@@ -70,7 +70,7 @@
 		newLaunch(m, i)
 	}
 	_, starts := c.buildCommands(m, sortedPlacements(m), 0, true)
-	c.recordDirectLaunches(m, starts, 7)
+	c.recordDirectLaunches(m, starts)
 	if len(starts) != maxUnfencedLaunches || !c.fence.urgent {
 		t.Errorf("%d direct launches, want %d; urgent: %v", len(starts), maxUnfencedLaunches, c.fence.urgent)
 	}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -81,7 +81,7 @@
 // batch, if it can receive one now.
 func (c *Core) sendPendingCommands(m *sched.Machine) {
 	now := c.env.Now()
-	if !c.canSendCommandBatch(m) || !m.Acked || m.Downlink.Partitioned || now-m.LastReportAt > c.maxReportAge() {
+	if !c.canSendCommandBatch(m) || !m.Acked() || m.Downlink.Partitioned || now-m.LastReportAt > c.maxReportAge() {
 		return
 	}
 	stops, starts := c.buildCommands(m, sortedPlacements(m), now, true)
@@ -89,7 +89,7 @@
 		return
 	}
 	session, relayNode := m.Session, c.router.RelayFor(m.ID)
-	c.recordDirectLaunches(m, starts, c.elector.Token())
+	c.recordDirectLaunches(m, starts)
 	if len(starts) > 0 {
 		m.LastCommandAt = now
 		if relayNode != "" {
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -275,6 +275,14 @@
 	}
 }
 
+// cachedFinalRecord returns the final record of a job from memory, or nil.
+func (c *Core) cachedFinalRecord(id string) *finalRecord {
+	if record, ok := c.finalRecords[id]; ok {
+		return &record
+	}
+	return nil
+}
+
 // load reads all records from the state service at the beginning of a term.
 func (c *Core) load(term uint64) {
 	stillLeading := func() bool { return c.elector.Leading() && c.term == term }
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -90,8 +90,7 @@
 	}
 	c.applyMachineReport(m, report, now)
 	if report.Token >= c.term {
-		c.recordAcknowledgement(m)
-		recordToken(m, report.Token)
+		c.recordAcknowledgement(m, report.Token)
 		answer.Body.Commands = c.reconcileTasks(m, report, now)
 	} else {
 		if m.StaleTokenAnswered {
@@ -190,12 +189,14 @@
 	}
 }
 
-// recordAcknowledgement records that a worker has acknowledged this leader's token.
-func (c *Core) recordAcknowledgement(m *sched.Machine) {
-	if m.Acked {
+// recordAcknowledgement records that a worker has acknowledged a token of this leader. From the first
+// one on, the worker executes this leader's commands only.
+func (c *Core) recordAcknowledgement(m *sched.Machine, token uint64) {
+	first := !m.Acked()
+	recordToken(m, token)
+	if !first {
 		return
 	}
-	m.Acked = true
 	m.Downlink.ConfirmReachable()
 	c.requestSchedulingPass()
 }
@@ -529,7 +530,7 @@
 	for _, m := range c.sortedMachines {
 		// A restarted machine begins a full lease although none of its reports was answered. It can
 		// hold tasks only from a command batch sent since, hence LastCommandAt.
-		if m.Acked && m.Busy() && now-max(m.LastAnsweredReportAt, m.LastCommandAt) > leaseBound {
+		if m.Acked() && m.Busy() && now-max(m.LastAnsweredReportAt, m.LastCommandAt) > leaseBound {
 			slog.Info("worker lease expired", "machine", m.ID)
 			for _, p := range sortedPlacements(m) {
 				c.endPlacement(p)
--- a/internal/fleet/size_test.go
+++ b/internal/fleet/size_test.go
@@ -22,7 +22,7 @@
 // newRunningMachine makes a machine that runs the given number of tasks, which belong to
 // one job that has no tasks elsewhere.
 func newRunningMachine(i int, spot bool, tasks int, cpus float64, kind string) *sched.Machine {
-	m := &sched.Machine{ID: fmt.Sprintf("m-%06d", i), Type: &catalog[0], Zone: "a", Spot: spot, Up: true, Acked: true,
+	m := &sched.Machine{ID: fmt.Sprintf("m-%06d", i), Type: &catalog[0], Zone: "a", Spot: spot, Up: true, Token: 1,
 		Placements: map[string]*sched.Placement{}, Images: map[string]sched.Micros{}, ImageSizes: map[string]float64{}}
 	priority := wire.PriorityLow
 	if kind == wire.KindService {
--- a/internal/sched/graph.go
+++ b/internal/sched/graph.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"iter"
 	"slices"
 
 	"lilacthread/internal/clock"
@@ -53,8 +54,8 @@
 		}
 		link.Job.UpdateCancellationState()
 	}
-	computePipelineStarts(dependents)
-	computeInherited(changed)
+	updatePipelineStarts(dependents)
+	updateInherited(changed)
 }
 
 // addEdge records that j depends on the given job.
@@ -81,7 +82,7 @@
 			changed = append(changed, dependency)
 		}
 	}
-	computeInherited(changed)
+	updateInherited(changed)
 	return dependencies
 }
 
@@ -104,22 +105,24 @@
 	if !j.HasDependents() {
 		return nil
 	}
-	out := make([]*Job, 0, len(j.directDependents)-j.removedDependents)
-	for _, d := range j.directDependents {
-		if d.hasDependencies() {
-			out = append(out, d)
+	return slices.AppendSeq(make([]*Job, 0, len(j.directDependents)-j.removedDependents), j.eachDependent())
+}
+
+// eachDependent iterates over the jobs that depend directly on j. All dependencies of a job are
+// removed at once, so a job without any is an entry that was removed.
+func (j *Job) eachDependent() iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		for _, d := range j.directDependents {
+			if len(d.Dependencies) > 0 && !yield(d) {
+				return
+			}
 		}
 	}
-	return out
 }
 
-// hasDependencies reports whether j depends on jobs in memory. All dependencies of a job are
-// removed at once, so none of its entries in lists of dependents counts any more if not.
-func (j *Job) hasDependencies() bool { return len(j.Dependencies) > 0 }
-
-// computePipelineStarts computes the pipeline starts of the given jobs and, where they change,
+// updatePipelineStarts computes the pipeline starts of the given jobs and, where they change,
 // of their dependents.
-func computePipelineStarts(jobs []*Job) {
+func updatePipelineStarts(jobs []*Job) {
 	computeInOrder(jobs, (*Job).DirectDependents, func(j *Job) bool {
 		start := j.PipelineStart
 		for _, dependency := range j.Dependencies {
@@ -133,9 +136,9 @@
 	})
 }
 
-// computeInherited computes what the given jobs inherit from their dependents and, where that
+// updateInherited computes what the given jobs inherit from their dependents and, where that
 // changes, what their dependencies inherit.
-func computeInherited(jobs []*Job) {
+func updateInherited(jobs []*Job) {
 	computeInOrder(jobs, func(j *Job) []*Job { return j.Dependencies }, (*Job).computeInherited)
 }
 
@@ -215,10 +218,7 @@
 // dependents, and reports whether one of them changed.
 func (j *Job) computeInherited() bool {
 	dependentsRank, deadline, priority := Micros(0), j.ownDeadline(), wire.PriorityOf(j.Spec.Priority)
-	for _, d := range j.directDependents {
-		if !d.hasDependencies() {
-			continue
-		}
+	for d := range j.eachDependent() {
 		dependentsRank = max(dependentsRank, d.UpwardRank())
 		priority = max(priority, d.Priority)
 		deadline = min(deadline, d.latestDependencyEnd())
@@ -286,10 +286,7 @@
 			continue
 		}
 		n.cancellationUncertain = uncertain
-		for _, d := range n.directDependents {
-			if !d.hasDependencies() {
-				continue
-			}
+		for d := range n.eachDependent() {
 			if uncertain {
 				d.uncertainDependencies++
 			} else {
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -214,7 +214,6 @@
 	LastCommandSeq       uint64 // highest sequence number in answers to direct command batches in this session
 	CommandInFlight      bool   // a direct command batch was sent and is not answered
 	Up                   bool   // the worker has reported
-	Acked                bool   // the worker has acknowledged this leader's token
 	LastReportAt         Micros // receipt of the last report
 	LastAnsweredReportAt Micros // receipt of the last report that this leader answered
 	LastCommandAt        Micros // when a direct command batch was last answered, or sent if it may start a task
@@ -285,12 +284,15 @@
 	return m.KnownSince-m.RequestedAt > 2*clock.FromSeconds(m.Type.BootTime)
 }
 
+// Acked reports whether the worker has acknowledged a token of this leader.
+func (m *Machine) Acked() bool { return m.Token > 0 }
+
 // Busy reports whether the machine has any placement.
 func (m *Machine) Busy() bool { return len(m.Placements) > 0 }
 
 // Usable reports whether new tasks may be placed on the machine.
 func (m *Machine) Usable(now, maxReportAge Micros) bool {
-	return m.Up && m.Acked && !m.Draining && !m.Retiring && !m.Releasing && m.ReclaimAt == 0 && !m.Failed && !m.Downlink.Partitioned &&
+	return m.Up && m.Acked() && !m.Draining && !m.Retiring && !m.Releasing && m.ReclaimAt == 0 && !m.Failed && !m.Downlink.Partitioned &&
 		now-m.LastReportAt <= maxReportAge && now >= m.AvoidUntil
 }
 
--- a/internal/sched/reservation_test.go
+++ b/internal/sched/reservation_test.go
@@ -13,7 +13,7 @@
 
 // newAcceleratorMachine returns an empty machine that is up and holds the image "i".
 func newAcceleratorMachine(n int) *Machine {
-	return &Machine{ID: fmt.Sprintf("m-%06d", n), Type: &acceleratorTypes[0], Zone: "a", Up: true, Acked: true,
+	return &Machine{ID: fmt.Sprintf("m-%06d", n), Type: &acceleratorTypes[0], Zone: "a", Up: true, Token: 1,
 		Placements: map[string]*Placement{}, Images: map[string]Micros{"i": 1}, ImageSizes: map[string]float64{"i": 1}}
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -58,7 +58,7 @@
 		target Micros
 		stops  int
 	}{{1000, 1}, {100, 0}} {
-		m := &Machine{ID: "m-1", Type: typ, Zone: "a", Up: true, Acked: true,
+		m := &Machine{ID: "m-1", Type: typ, Zone: "a", Up: true, Token: 1,
 			Placements: map[string]*Placement{}, Images: map[string]Micros{}, ImageSizes: map[string]float64{}}
 		low := newJob("low", wire.PriorityLow, 0, 60, c.target)
 		low.Spec.Tasks, low.Spec.CheckpointInterval, low.Spec.SaveDuration = 1, 10, 2
--- a/internal/sched/size_test.go
+++ b/internal/sched/size_test.go
@@ -29,7 +29,7 @@
 	}
 	old := newJob("old0", wire.KindArray, wire.PriorityLow, machines*4, 4)
 	for i := range machines {
-		m := &Machine{ID: fmt.Sprintf("m-%06d", i), Type: typ, Zone: "a", Spot: i%2 == 0, Up: true, Acked: true,
+		m := &Machine{ID: fmt.Sprintf("m-%06d", i), Type: typ, Zone: "a", Spot: i%2 == 0, Up: true, Token: 1,
 			LastReportAt: in.Now, Placements: map[string]*Placement{}, Images: map[string]Micros{}, ImageSizes: map[string]float64{}}
 		in.Machines = append(in.Machines, m)
 		for k := 0; i%3 == 0 && k < 4; k++ {
@@ -161,7 +161,7 @@
 		in := largeInput(0, 0, 0)
 		typ := &wire.MachineType{Name: "m", CPUs: 16, MemoryGB: 64}
 		for i, set := range []func(*Machine){c.first, c.second} {
-			m := &Machine{ID: fmt.Sprint("m-", i), Type: typ, Zone: "a", Up: true, Acked: true, LastReportAt: in.Now,
+			m := &Machine{ID: fmt.Sprint("m-", i), Type: typ, Zone: "a", Up: true, Token: 1, LastReportAt: in.Now,
 				Placements: map[string]*Placement{}, Images: map[string]Micros{}, ImageSizes: map[string]float64{}}
 			in.Machines = append(in.Machines, m)
 			set(m)
--- a/internal/sim/order_copies.go
+++ b/internal/sim/order_copies.go
@@ -3,7 +3,7 @@
 import (
 	"math/rand/v2"
 
-	"lilacthread/wire"
+	"lilacthread/internal/store"
 )
 
 // orderCopier delivers copies of the command batches that controllers send directly to workers
@@ -27,16 +27,11 @@
 		delay := copier.minDelay + Micros(copier.rng.Int64N(int64(copier.maxDelay-copier.minDelay)+1))
 		w.After(delay, func() {
 			x.runWhenActive(func() {
-				orders := new(wire.Orders)
-				if err := wire.Decode(body, orders); err != nil {
-					panic(err)
-				}
-				if orders.Token < x.token || orders.Session != x.session {
-					copier.refused++
-				} else {
+				if outcome, _ := x.executeOrders(decodeOrders(body)); outcome == store.OK {
 					copier.executed++
+				} else {
+					copier.refused++
 				}
-				x.executeOrders(orders)
 			})
 		})
 	}
--- a/internal/sim/script_expect.go
+++ b/internal/sim/script_expect.go
@@ -242,8 +242,8 @@
 	return nil
 }
 
-// expectExitedTasks checks that the number of exited tasks that workers keep on record is at most
-// max.
+// expectExitedTasks checks that the number of exited tasks that workers keep on record is between
+// min and max.
 func (s *script) expectExitedTasks(a args) error {
 	w := s.world
 	count := 0
--- a/internal/sim/script_users.go
+++ b/internal/sim/script_users.go
@@ -19,19 +19,15 @@
 	job := s.parseJob(a)
 	w.failingJobs[job.ID] = a.hasFlag("broken") // its tasks fail on every machine
 	return func() {
+		user, submission := w.UserFor(job), (*User).submission
+		if a.hasFlag("malformed") { // the submission lacks a field
+			submission = (*User).malformedSubmission
+		}
 		if name := a.pairs["at"]; name != "" {
-			user := w.UserFor(job)
 			user.connectedNode = s.node(name).name
-			user.submit()
-			user.connectedNode = ""
-			return
 		}
-		if a.hasFlag("malformed") { // the submission lacks a field
-			user := w.UserFor(job)
-			user.submitWith(user.malformedSubmission)
-			return
-		}
-		w.Submit(job)
+		user.submitWith(func(c *controller.Core, reply func(controller.Answer)) { submission(user, c, reply) })
+		user.connectedNode = ""
 	}
 }
 
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -486,11 +486,7 @@
 		w.scheduleOrderCopies(worker, body)
 		w.After(delay, func() {
 			worker.runWhenActive(func() {
-				got := new(wire.Orders)
-				if err := wire.Decode(body, got); err != nil {
-					panic(err)
-				}
-				outcome, answer := worker.executeOrders(got)
+				outcome, answer := worker.executeOrders(decodeOrders(body))
 				report, err := wire.DecodeReport(wire.Encode(answer))
 				if err != nil {
 					panic(err)
@@ -503,6 +499,15 @@
 	}, e.whileRunning(func() { done(store.Unknown, nil) }))
 }
 
+// decodeOrders decodes the body of a command batch that was encoded here.
+func decodeOrders(body []byte) *wire.Orders {
+	orders := new(wire.Orders)
+	if err := wire.Decode(body, orders); err != nil {
+		panic(err)
+	}
+	return orders
+}
+
 // node returns the node with the given name, or nil.
 func (w *World) node(name string) *Node {
 	for _, n := range w.Nodes {
