A restarted machine starts no task by a late copy of a launch

Cause: the leader checks a machine that may have restarted by an order without commands under its present token. The restarted worker, whose token was 0, stored that token, so that every earlier launch of the term matched again and its next report was that of a well machine. The answer counted as a restart only by a lower (session, tick), which a young machine's is not.

Further proofs: an answer that is not newer than what was known when the order was sent, a newer report under a lower token, and a message that lacks an attempt launched by an order which an earlier one listed. A restarted machine is not answered, and gets the token only once it is higher than those of all launches to the machine; it is raised for that, once for all machines that restart within two seconds. Its placements hold until the worker has answered under that token, or the machine is returned.

Open: until a restarted worker has heard the raised token it accepts every copy; nothing in the protocol refuses it.

--- a/internal/controller/failure_detection.go
+++ b/internal/controller/failure_detection.go
@@ -43,7 +43,7 @@
 func (c *Core) probePartitions(now Micros) {
 	for _, m := range c.sortedMachines {
 		if m.Downlink.Suspected() && c.canSendCommandBatch(m) && m.Downlink.BeginProbe(now) {
-			c.probe(m, func(ok bool, _ *wire.Report) { m.Downlink.RecordProbeResult(ok) })
+			c.probe(m, func(ok bool) { m.Downlink.RecordProbeResult(ok) })
 		}
 	}
 }
@@ -88,7 +88,7 @@
 			continue
 		}
 		m.LastProbeAt = now
-		c.probe(m, func(ok bool, _ *wire.Report) {
+		c.probe(m, func(ok bool) {
 			if m.UnansweredProbes++; ok || m.LastReportAt > now {
 				m.UnansweredProbes = 0
 			}
@@ -96,37 +96,16 @@
 	}
 }
 
-// probe sends an empty command batch; an answer shows that the machine receives commands.
-func (c *Core) probe(m *sched.Machine, done func(ok bool, report *wire.Report)) {
-	c.sendCommandBatch(m, []wire.Command{}, func(outcome store.Outcome, report *wire.Report) {
-		done((outcome == store.OK || outcome == store.Failed) && report != nil && report.Machine == m.ID, report)
-	})
-}
+// probeToken is the token of probes. It is lower than every leader's token, so a worker answers with
+// its report but does not store the token. A probe under the present token would make a restarted
+// worker accept every copy of an earlier launch of this term, and hide the restart from its next
+// report.
+const probeToken = 0
 
-// handleStaleReport handles a report that is older than the last one from its machine. Such a
-// report is usually a delayed copy and changes nothing. But if the machine's next report is
-// overdue, the machine may have restarted with a reset session counter. The report alone
-// can't distinguish the two cases, so the machine is probed.
-func (c *Core) handleStaleReport(m *sched.Machine, report *wire.Report, now Micros) {
-	if now-m.LastReportAt < c.reportOverdueAfter() || now-m.LastRestartCheckAt < c.cfg.ReportInterval() || !c.canSendCommandBatch(m) {
-		return
-	}
-	m.LastRestartCheckAt = now
-	// Compare with the state before the probe: a report that the machine writes after its answer
-	// may arrive first.
-	session, seq := m.Session, m.Seq
-	c.probe(m, func(ok bool, answer *wire.Report) {
-		if ok && answer.Token <= c.elector.Token() && (answer.Session < session || answer.Session == session && answer.Seq < seq) {
-			c.markRestarted(m, answer)
-		}
+// probe sends an empty command batch; an answer shows that the machine receives commands.
+func (c *Core) probe(m *sched.Machine, done func(ok bool)) {
+	orders := &wire.Orders{Token: probeToken, Session: m.Session, Commands: []wire.Command{}}
+	c.sendCommandBatch(m, orders, func(outcome store.Outcome, report *wire.Report) {
+		done((outcome == store.OK || outcome == store.Failed) && report != nil && report.Machine == m.ID)
 	})
 }
-
-// markRestarted marks a restarted machine for release. Its new session and sequence numbers can't
-// be distinguished from those of delayed copies from before the restart: such a copy with higher
-// numbers would prove running tasks absent. This occurs when duplicated messages and restarts
-// coincide. The machine's tasks ended with the restart, and its release proves that.
-func (c *Core) markRestarted(m *sched.Machine, answer *wire.Report) {
-	slog.Info("machine restarted with a reset session counter", "machine", m.ID, "session", answer.Session, "was", m.Session, "tasks", len(m.Placements))
-	m.Restarted, m.Draining = true, true
-}
--- a/internal/controller/order_fence.go
+++ b/internal/controller/order_fence.go
@@ -23,6 +23,9 @@
 	// tokenRaiseInterval is the usual time between two raises of the token. Each one makes every
 	// worker send an additional report.
 	tokenRaiseInterval = 30 * clock.Second
+	// restartRaiseInterval is the time between two raises of the token for restarted machines, so that
+	// machines that restart together share one.
+	restartRaiseInterval = 2 * clock.Second
 	// maxUnfencedLaunches is how many direct launches a worker may be able to execute again. Further
 	// launches are sent in answers to reports, which are not executed late. It bounds what a worker
 	// keeps on record, and with it the size of its reports.
@@ -33,16 +36,23 @@
 type orderFence struct {
 	needed   bool   // a worker keeps an attempt on record only because of its launch
 	urgent   bool   // a worker has half as many direct launches as it may have
+	restart  bool   // a restarted worker would execute launches under the present token again
 	raisedAt Micros // when the token was last raised, or the raise was last queued
+	// queuedToken is the token of the latest raise, which may not be committed yet.
+	queuedToken uint64
 }
 
 // recordDirectLaunches records the launches of a command batch that is sent with the present token.
 func (c *Core) recordDirectLaunches(m *sched.Machine, starts []wire.Command) {
-	if len(starts) > 0 && m.DirectLaunches == nil {
-		m.DirectLaunches = map[sched.Attempt]uint64{}
+	if len(starts) == 0 {
+		return
+	}
+	if m.DirectLaunches == nil {
+		m.DirectLaunches = map[sched.Attempt]*sched.DirectLaunch{}
 	}
+	m.LastLaunchToken = c.elector.Token()
 	for _, start := range starts {
-		m.DirectLaunches[sched.Attempt{Task: start.Task, Number: start.Attempt}] = c.elector.Token()
+		m.DirectLaunches[sched.Attempt{Task: start.Task, Number: start.Attempt}] = &sched.DirectLaunch{Token: c.elector.Token()}
 	}
 	if len(m.DirectLaunches) >= maxUnfencedLaunches/2 {
 		c.fence.needed, c.fence.urgent = true, true
@@ -52,11 +62,11 @@
 // mayForget reports whether a worker may forget an attempt: no launch of it can be executed any
 // more. If one can under the present token, it requests a higher one.
 func (c *Core) mayForget(m *sched.Machine, attempt sched.Attempt) bool {
-	token, launched := m.DirectLaunches[attempt]
-	if launched && token >= c.elector.Token() {
+	launch := m.DirectLaunches[attempt]
+	if launch != nil && launch.Token >= c.elector.Token() {
 		c.fence.needed = true
 	}
-	return !launched
+	return launch == nil
 }
 
 // recordToken records the token of a worker's report. The worker refuses launches under lower ones
@@ -66,8 +76,8 @@
 		return
 	}
 	m.Token = token
-	for attempt, launchToken := range m.DirectLaunches {
-		if launchToken < token {
+	for attempt, launch := range m.DirectLaunches {
+		if launch.Token < token {
 			delete(m.DirectLaunches, attempt)
 		}
 	}
@@ -80,12 +90,19 @@
 	if c.fence.urgent { // workers report a higher token at once only once within half a lease
 		interval = min(interval, c.cfg.WorkerLease()/2)
 	}
-	if !c.fence.needed || now-c.fence.raisedAt < interval {
+	if c.fence.restart {
+		interval = restartRaiseInterval
+	}
+	if !c.fence.needed && !c.fence.restart || now-c.fence.raisedAt < interval {
 		return
 	}
-	c.fence = orderFence{raisedAt: now}
+	class := classDelayed
+	if c.fence.restart {
+		class = classUrgent
+	}
 	token, change := c.elector.NextTokenChange()
-	c.committer.add(change.PutKey, classDelayed, func() ([]wire.Change, bool) { return []wire.Change{change}, true }, c.whileInTerm(func() {
+	c.fence = orderFence{raisedAt: now, queuedToken: token}
+	c.committer.add(change.PutKey, class, func() ([]wire.Change, bool) { return []wire.Change{change}, true }, c.whileInTerm(func() {
 		c.elector.AdoptToken(token)
 		slog.Debug("token raised", "term", c.term, "token", token)
 	}))
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -34,7 +34,13 @@
 
 // canSendCommandBatch reports whether a command batch may be sent to the machine now.
 func (c *Core) canSendCommandBatch(m *sched.Machine) bool {
-	if m.CommandInFlight || !c.Serving() || c.machines[m.ID] != m || m.Releasing || m.Addr == "" {
+	return !m.Releasing && c.commandPathFree(m)
+}
+
+// commandPathFree reports whether the machine can be sent a command batch now, even if it is about
+// to be released.
+func (c *Core) commandPathFree(m *sched.Machine) bool {
+	if m.CommandInFlight || !c.Serving() || c.machines[m.ID] != m || m.Addr == "" {
 		return false
 	}
 	if relayNode := c.router.RelayFor(m.ID); relayNode != "" {
@@ -45,14 +51,14 @@
 
 // sendCommandBatch sends a command batch, which may be empty, to a machine for which
 // canSendCommandBatch holds. It calls done with the outcome, unless the machine was removed
-// or this leader's term ended in the meantime.
+// or this leader's term ended in the meantime. An answer that shows a restart of the worker marks
+// the machine before that.
 //
 // The batch goes through the relaying controller that holds the machine's connection, if there
 // is one.
-func (c *Core) sendCommandBatch(m *sched.Machine, commands []wire.Command, done func(store.Outcome, *wire.Report)) {
+func (c *Core) sendCommandBatch(m *sched.Machine, orders *wire.Orders, done func(store.Outcome, *wire.Report)) {
 	m.CommandInFlight = true
-	term := c.term
-	orders := &wire.Orders{Token: c.elector.Token(), Session: m.Session, Commands: commands}
+	term, known := c.term, lastKnownState(m)
 	relayNode := c.router.RelayFor(m.ID)
 	complete := func(outcome store.Outcome, report *wire.Report) {
 		if !c.elector.Leading() || c.term != term {
@@ -65,9 +71,13 @@
 		if outcome == store.OK || outcome == store.Failed {
 			m.LastCommandAt = c.env.Now()
 		}
-		if c.machines[m.ID] == m {
-			done(outcome, report)
+		if c.machines[m.ID] != m {
+			return
+		}
+		if report != nil && report.Machine == m.ID && known.answerProvesRestart(report) {
+			c.markRestarted(m, report)
 		}
+		done(outcome, report)
 	}
 	if relayNode != "" {
 		c.router.SendOrders(relayNode, m.Addr, orders, complete)
@@ -81,7 +91,7 @@
 // batch, if it can receive one now.
 func (c *Core) sendPendingCommands(m *sched.Machine) {
 	now := c.env.Now()
-	if !c.canSendCommandBatch(m) || !m.Acked() || m.Downlink.Partitioned || now-m.LastReportAt > c.maxReportAge() {
+	if !c.canSendCommandBatch(m) || !m.Acked() || m.Restarted || m.Downlink.Partitioned || now-m.LastReportAt > c.maxReportAge() {
 		return
 	}
 	stops, starts := c.buildCommands(m, sortedPlacements(m), now, true)
@@ -96,7 +106,8 @@
 			m.LastCommandAt += carrier.OrderTimeout // the relaying controller may send the batch that much later
 		}
 	}
-	c.sendCommandBatch(m, append(stops, starts...), func(outcome store.Outcome, report *wire.Report) {
+	orders := &wire.Orders{Token: c.elector.Token(), Session: m.Session, Commands: append(stops, starts...)}
+	c.sendCommandBatch(m, orders, func(outcome store.Outcome, report *wire.Report) {
 		if m.Session != session {
 			return // the placements of the previous session have ended
 		}
@@ -128,6 +139,9 @@
 			return
 		}
 		m.LastCommandSeq = max(m.LastCommandSeq, report.Seq)
+		if c.checkForgotten(m, report) {
+			return
+		}
 		// A task in the answer is up to date. A task missing from it may still be launched by
 		// the answer to a report in transit.
 		for i := range report.Tasks {
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -65,6 +65,10 @@
 	if m == nil {
 		return ReportAnswer{Code: 503}
 	}
+	if m.Restarted {
+		c.handleRestartedReport(m, report, now)
+		return ReportAnswer{Code: 503}
+	}
 	// The token of a worker never decreases. A report under an older token than the worker has
 	// reported was therefore written earlier, whatever its session and sequence number are.
 	if report.Session < m.Session || report.Session == m.Session && report.Seq <= m.Seq || report.Token < m.Token {
@@ -88,6 +92,9 @@
 		answer.Body.Commands = c.stopsForCancelled(m, report)
 		return answer
 	}
+	if report.Session == m.Session && c.checkForgotten(m, report) {
+		return ReportAnswer{Code: 503}
+	}
 	c.applyMachineReport(m, report, now)
 	if report.Token >= c.term {
 		c.recordAcknowledgement(m, report.Token)
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -195,6 +195,12 @@
 	Number uint64
 }
 
+// DirectLaunch is a launch that was sent in a direct command batch.
+type DirectLaunch struct {
+	Token   uint64 // of the command batch
+	SeenSeq uint64 // sequence number of the first message of the worker that listed the attempt; 0 if none did
+}
+
 // RemainingTime returns the expected run time of the task in this placement, from its start
 // here: the job's estimate less the progress saved before.
 func (pl *Placement) RemainingTime() Micros { return pl.Job.Estimate - pl.Job.Tasks[pl.Index].Progress }
@@ -233,14 +239,17 @@
 	UnansweredProbes      int             // probes without an answer since the last report
 	LastProbeAt           Micros          // when the latest probe was sent
 	LastRestartCheckAt    Micros          // when the machine was last checked for a restart of its worker
-	Restarted             bool            // the check found a restart
+	Restarted             bool            // the worker has restarted: it has forgotten its token and its attempts
 
 	// Token is the highest token in the worker's reports to this leader, 0 before it has
 	// acknowledged the leader's first one.
 	Token uint64
-	// DirectLaunches holds the tokens of launches in direct command batches of the present session
-	// which the worker may still execute, perhaps once more. It must keep their attempts on record.
-	DirectLaunches map[Attempt]uint64
+	// DirectLaunches holds the launches in direct command batches of the present session which the
+	// worker may still execute, perhaps once more. It must keep their attempts on record.
+	DirectLaunches map[Attempt]*DirectLaunch
+	// LastLaunchToken is the highest token of a direct launch to the machine, in whatever session.
+	// A restarted worker may execute copies of all launches until it has seen a higher token.
+	LastLaunchToken uint64
 
 	Errors           int             // task failures since the last success
 	ErrorJobs        map[string]bool // IDs of the jobs with those failures
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -166,6 +166,7 @@
 		x.backlog = append(x.backlog, x.report)
 		return
 	}
+	x.world.reportsSent++
 	x.lastReportAt, x.awaitingAnswer, x.unreportedChange = x.world.now, true, false
 	if x.world.outboundLost[x.id] { // the report cannot be sent
 		x.tryNext()
