A fleet that can't be reached isn't released machine by machine

With all machines deaf at once, a leader released three of four of them as "silent" or "one-way partition" when they turned silent one after the other: its work then waited for new machines to boot.

Cause: that many machines can't be reached points to a fault on the controllers' side, but silent ones and those in a one-way partition were counted apart, and a single one of either kind was always released. Now they are counted together.

--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -170,7 +170,7 @@
 // maintainMachines releases machines that are of no use: idle, silent, failed, drained, or never
 // up.
 func (c *Core) maintainMachines(now Micros) {
-	up, silent, partitioned, spot := 0, 0, 0, 0
+	up, unreachable, spot := 0, 0, 0
 	// After a takeover no machine has reported to this leader yet. Without this waiting time, a
 	// new leader would consider the whole fleet silent and release it.
 	settled := now-c.electedAt > 3*c.cfg.WorkerLease()/2
@@ -180,14 +180,13 @@
 			if m.Spot {
 				spot++
 			}
-			if c.silent(m, now) {
-				silent++
-			}
-			if m.Downlink.Partitioned {
-				partitioned++
+			if c.silent(m, now) || m.Downlink.Partitioned {
+				unreachable++
 			}
 		}
 	}
+	// If many machines can't be reached at once, the fault is more likely on the controllers' side.
+	faultIsTheirs := unreachable*4 <= up || unreachable == 1
 	c.spotLosses.observe(spot, now)
 	c.drainUnhealthyMachines(now)
 	input := c.fleetInput(now)
@@ -213,14 +212,12 @@
 			reason = "not listed"
 		case !m.Up && settled && now-m.RequestedAt > Micros(float64(bootTime)*c.policy.BootTimeoutFactor)+clock.FromSeconds(c.cfg.Params.Cloud.ListLag):
 			reason = "never came up"
-		case m.Up && c.silent(m, now) && settled && (silent*4 <= up || silent == 1):
-			// Releasing the machine proves at once that its tasks are gone. If many machines are
-			// silent, however, the fault is more likely on the controllers' side.
+		case m.Up && c.silent(m, now) && settled && faultIsTheirs:
+			// Releasing the machine proves at once that its tasks are gone.
 			reason = "silent"
 		case m.Up && now-m.LastReportAt > c.cfg.WorkerLease()+c.leaseMargin() && settled && !m.Busy():
 			reason = "silent and empty"
-		case m.Downlink.Unrecoverable(now, c.cfg.WorkerLease()) && (partitioned*4 <= up || partitioned == 1):
-			// Many partitioned machines at once likewise point to a fault on the controllers' side.
+		case m.Downlink.Unrecoverable(now, c.cfg.WorkerLease()) && faultIsTheirs:
 			reason = "one-way partition"
 		case !m.Acked() && m.Busy() && settled:
 			reason = "does not acknowledge this term"
