A copy of a transaction that was carried out changes nothing

Cause: the only condition of the leader's transactions is the version of the leader key, which changes with an election or a fence, not with a transaction. A copy of any answered transaction of the term met it. Evidence: the record of the case, "if lead/key=4" in each transaction, 200 to the copy.

Change: each transaction guards on the known version of a record that it writes or deletes, which its own effect makes false for ever; one that only creates records rewrites the leader key. Followers don't read the election's keys for such a rewrite. A node's announcement of its level, which had no condition, guards on the one that it replaces.

--- a/internal/controller/commit.go
+++ b/internal/controller/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 
 	"lilacthread/internal/admit"
 	"lilacthread/internal/clock"
@@ -18,10 +19,11 @@
 	urgent         []*pendingWrite // classUrgent, in order of arrival
 	delayed        []*pendingWrite // classDelayed
 	background     []*pendingWrite // classBackground
-	inFlight       bool            // a transaction is being sent or repeated
-	paused         bool            // between pauseFor and the end of the pause
-	sizeReductions int             // reductions of the transaction size after refusals, since the last success
-	rateLimitCount int             // answers with status 429 since the last success
+	versions       recordVersions
+	inFlight       bool // a transaction is being sent or repeated
+	paused         bool // between pauseFor and the end of the pause
+	sizeReductions int  // reductions of the transaction size after refusals, since the last success
+	rateLimitCount int  // answers with status 429 since the last success
 }
 
 // renderFunc returns the changes that write a record, or false if the record cannot be
@@ -107,8 +109,13 @@
 	}
 }
 
+// newCommitter returns a committer without pending writes.
+func newCommitter(c *Core) committer {
+	return committer{core: c, pending: map[string]*pendingWrite{}, versions: recordVersions{}}
+}
+
 // reset drops all pending writes.
-func (w *committer) reset() { *w = committer{core: w.core, pending: map[string]*pendingWrite{}} }
+func (w *committer) reset() { *w = newCommitter(w.core) }
 
 // firstPending drops stale entries from the front of a class's list and returns the first
 // record that is still pending in that class, or nil.
@@ -136,7 +143,8 @@
 	writes         []*pendingWrite
 	changes        []wire.Change
 	changesByClass [classUrgent + 1]int
-	size           int // bytes of the changes in JSON
+	size           int  // bytes of the changes in JSON
+	updates        bool // it changes a record of a known version, see recordVersions
 }
 
 // Upper bounds, in bytes, of what a transaction's JSON form needs besides the keys and
@@ -195,6 +203,9 @@
 		return
 	}
 	w.inFlight = true
+	if !transaction.updates {
+		transaction.changesByClass[transaction.writes[0].class] += keyRewriteChanges
+	}
 	for class, n := range transaction.changesByClass {
 		c.writeBudget.Spend(budgetTime, requestClassOf[class], n)
 	}
@@ -215,6 +226,10 @@
 	return min(limit, max(unreserved, used+int(c.writeBudget.Reserved(at, requestClass)), used))
 }
 
+// keyRewriteChanges is the number of changes that rewrite the leader key in a transaction that only
+// creates records.
+const keyRewriteChanges = 1
+
 // fill moves eligible records from one list into the transaction. It reports whether it
 // stopped because the transaction has no room for the next one.
 func (w *committer) fill(transaction *pendingTransaction, list *[]*pendingWrite, class, maxChanges int, eligible func(*pendingWrite) bool) bool {
@@ -239,11 +254,18 @@
 		if len(transaction.writes) > 0 && transaction.size+size > wire.MaxBody-txnOverhead {
 			return true
 		}
+		_, updates := w.versions.guardAgainstCopies(changes)
+		updates = updates || transaction.updates
+		reserved := 0
+		if !updates {
+			reserved = keyRewriteChanges
+		}
 		// The changes of a record stay together. A record that is alone in the transaction
 		// waits until the budget covers it or is full, unless it exceeds the limit of a transaction.
-		if len(transaction.changes)+len(changes) > maxChanges && (len(transaction.writes) > 0 || len(changes) <= w.core.stateLimits().TxnOps && !w.budgetCovers(len(changes))) {
+		if len(transaction.changes)+len(changes)+reserved > maxChanges && (len(transaction.writes) > 0 || len(changes) <= w.core.stateLimits().TxnOps && !w.budgetCovers(len(changes)+reserved)) {
 			return true
 		}
+		transaction.updates = updates
 		*list = (*list)[1:]
 		delete(w.pending, write.key)
 		transaction.writes, transaction.changes, transaction.size = append(transaction.writes, write), append(transaction.changes, changes...), transaction.size+size
@@ -317,6 +339,19 @@
 		}
 	}
 	txn := &wire.Txn{If: []wire.Guard{c.elector.Guard()}, Then: transaction.changes}
+	guard, guarded := w.versions.guardAgainstCopies(transaction.changes)
+	if guarded {
+		txn.If = append(txn.If, guard)
+	} else {
+		if len(txn.Then) >= c.stateLimits().TxnOps && len(transaction.writes) > 1 {
+			// It was filled when versions were known that have become uncertain since.
+			w.inFlight = false
+			w.requeue(transaction)
+			w.startTransaction()
+			return
+		}
+		txn.Then = append(slices.Clone(txn.Then), c.elector.NextKeyChange())
+	}
 	c.env.State().Txn(txn, func(outcome store.Outcome, answer *wire.TxnAnswer) {
 		if !stillCurrent() {
 			return
@@ -325,6 +360,10 @@
 		case store.OK:
 			c.lastStateContact = c.env.Now()
 			w.inFlight, w.sizeReductions, w.rateLimitCount = false, 0, 0
+			w.versions.commit(transaction.changes, answer.Revision)
+			if !guarded {
+				c.elector.AdoptKeyVersion(answer.Revision)
+			}
 			for _, write := range transaction.writes {
 				for _, f := range write.done {
 					f()
@@ -333,6 +372,7 @@
 			c.sendQueuedCommandBatches()
 			w.startTransaction()
 		case store.Failed:
+			w.versions.forget(answer.FailedGuards)
 			c.elector.VerifyLeadership(resend)
 		case store.Refused:
 			c.env.After(150*clock.Millisecond, func() { resend(true) })
@@ -349,6 +389,7 @@
 			w.handleInvalidTransaction(transaction)
 		default:
 			slog.Info("transaction not answered, fencing before a retry", "records", len(transaction.writes))
+			w.versions.forgetChanged(transaction.changes)
 			c.elector.Fence(resend)
 		}
 	})
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -441,7 +441,7 @@
 			Guarantee: sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs}, Limit: sched.Resources{CPUs: t.CPUsMax, GPUs: t.GPUsMax}}
 	}
 	c.fetchRates, c.spotLosses = map[string]float64{}, spotLosses{updatedAt: now}
-	c.committer = committer{core: c, pending: map[string]*pendingWrite{}}
+	c.committer = newCommitter(c)
 	c.attemptCount, c.rentalCount = 0, 0
 	c.pendingRentals = map[string]fleet.PendingRental{}
 	c.refusedUntil = map[fleet.MachineKind]Micros{}
--- a/internal/controller/format_level.go
+++ b/internal/controller/format_level.go
@@ -58,6 +58,8 @@
 	peerMaxLevels map[string]int // highest level known to be supported, by node
 	raising       bool           // the record of the new level is not yet committed
 	announced     bool           // the state service holds this node's announcement
+	// announcementVersion is the version of this node's announcement as last read, 0 if there is none.
+	announcementVersion uint64
 }
 
 // FormatLevel returns the format level in force, as far as this node knows.
@@ -82,7 +84,8 @@
 // peers also receive it with every message.
 //
 // If the record is the same from before a restart, nothing is written, so that a crash
-// loop uses no write budget.
+// loop uses no write budget. The condition on the record's version keeps a late copy of the
+// transaction from restoring the announcement of another version of the program.
 func (c *Core) announceLevel() {
 	if c.format.maxLevel < LevelTasks || c.format.announced {
 		return
@@ -94,11 +97,13 @@
 		return
 	}
 	c.writeBudget.Spend(at, admit.BackgroundWrites, 1)
-	c.env.State().Txn(&wire.Txn{Then: []wire.Change{
-		{PutKey: nodeLevelPrefix + c.cfg.Name, Value: wire.Encode(&levelRecord{c.format.maxLevel})},
-	}}, func(outcome store.Outcome, _ *wire.TxnAnswer) {
+	key := nodeLevelPrefix + c.cfg.Name
+	c.env.State().Txn(&wire.Txn{
+		If:   []wire.Guard{{Key: key, Version: c.format.announcementVersion}},
+		Then: []wire.Change{{PutKey: key, Value: wire.Encode(&levelRecord{c.format.maxLevel})}},
+	}, func(outcome store.Outcome, _ *wire.TxnAnswer) {
 		if outcome != store.OK {
-			retry()
+			c.env.After(clock.Second, func() { c.readLevels(func(bool) { c.announceLevel() }) })
 		}
 	})
 }
@@ -131,8 +136,9 @@
 			if msgpack.Unmarshal(list.Items[i].Value, &r) != nil {
 				continue
 			}
-			if list.Items[i].Key == nodeLevelPrefix+c.cfg.Name && r.Level == c.format.maxLevel {
-				c.format.announced = true
+			if list.Items[i].Key == nodeLevelPrefix+c.cfg.Name {
+				c.format.announcementVersion = list.Items[i].Version
+				c.format.announced = r.Level == c.format.maxLevel
 			}
 			if list.Items[i].Key == levelKey {
 				c.recordNodeLevel("", 0, r.Level)
--- a/internal/controller/records.go
+++ b/internal/controller/records.go
@@ -328,7 +328,12 @@
 		c.handleDeferredReports()
 		c.requestSchedulingPass()
 	}
-	readAll := func(prefix string, then func([]wire.Item, uint64)) { c.listAll(stillLeading, prefix, then) }
+	readAll := func(prefix string, then func([]wire.Item, uint64)) {
+		c.listAll(stillLeading, prefix, func(items []wire.Item, revision uint64) {
+			c.committer.versions.learn(items)
+			then(items, revision)
+		})
+	}
 	c.readLevelsBeforeLoad(stillLeading, func() {
 		readAll(jobPrefix, func(items []wire.Item, revision uint64) {
 			jobsRevision = revision
@@ -348,6 +353,7 @@
 									return
 								}
 								if outcome == store.OK {
+									c.committer.versions.learn([]wire.Item{*item})
 									c.restoreLearned(item.Value)
 								}
 								c.awaitCatalog(stillLeading, finish)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -27,7 +27,7 @@
 	Node        string `msgpack:"node"`
 	Incarnation uint64 `msgpack:"inc"`
 	Term        uint64 `msgpack:"term"`
-	FenceCount  uint64 `msgpack:"rewrites"` // how often Fence rewrote the key
+	FenceCount  uint64 `msgpack:"rewrites"` // how often the key was rewritten in this process
 	// Addr is the address and port on which the process accepts requests, which no other
 	// live process can hold. It is empty if the settings name none.
 	Addr string `msgpack:"addr,omitempty"`
@@ -69,6 +69,7 @@
 	leader              string       // name of the leader as last read; empty if unknown
 	abstainUntil        clock.Micros // the node does not run for leadership before then
 	watching            bool
+	watched             Record       // the leader's record when the watch began
 	duplicateReportedAt clock.Micros // when a leader with this node's name was last logged
 }
 
@@ -173,7 +174,7 @@
 				e.duplicateReportedAt = e.env.Now()
 				slog.Error("another process leads under this node's name", "name", leaderRecord.Node, "its address", leaderRecord.Addr, "ours", e.self.Addr)
 			}
-			e.leader = leaderRecord.Node
+			e.leader, e.watched = leaderRecord.Node, leaderRecord
 			e.watch(list.Revision)
 		}
 	})
@@ -305,7 +306,7 @@
 	e.store.Watch(Prefix, revision, 10_000, func(outcome store.Outcome, answer *wire.WatchAnswer) {
 		e.watching = false
 		e.noteResponse(outcome)
-		if outcome == store.OK && len(answer.Events) == 0 {
+		if outcome == store.OK && e.keepsLeader(answer.Events) {
 			e.watch(answer.Revision)
 			return
 		}
@@ -317,6 +318,22 @@
 	})
 }
 
+// keepsLeader reports whether events of the election's keys only show that the watched leader
+// rewrote its key or raised its token.
+func (e *Elector) keepsLeader(events []wire.Event) bool {
+	for i := range events {
+		if events[i].PutKey == TermKey {
+			continue // an election writes the leader key too
+		}
+		var holder Record
+		if events[i].PutKey != Key || msgpack.Unmarshal(events[i].Value, &holder) != nil ||
+			holder.Node != e.watched.Node || holder.Incarnation != e.watched.Incarnation || holder.Term != e.watched.Term {
+			return false
+		}
+	}
+	return true
+}
+
 // VerifyLeadership reads the leader key after a guard on it failed. done(true) means that
 // this process still holds the key and that Guard returns its current version; done(false)
 // means that the term has ended.
@@ -343,6 +360,18 @@
 	})
 }
 
+// NextKeyChange returns a change that rewrites the leader key, for a transaction with Guard. Once the
+// transaction is committed, the caller passes its revision to AdoptKeyVersion.
+func (e *Elector) NextKeyChange() wire.Change {
+	e.self.FenceCount++
+	rec := e.self
+	rec.Term = e.term
+	return wire.Change{PutKey: Key, Value: wire.Encode(&rec), Lease: e.leaseID}
+}
+
+// AdoptKeyVersion sets the version of the leader key after a change by NextKeyChange.
+func (e *Elector) AdoptKeyVersion(version uint64) { e.keyVersion = version }
+
 // Fence rewrites the leader key, which changes its version, so that no transaction sent
 // before can still be applied. It must be called whenever the outcome of a transaction is
 // unknown. done(false) means that the term has ended.
@@ -352,12 +381,7 @@
 		done(false)
 		return
 	}
-	rec := e.self
-	rec.Term = term
-	e.self.FenceCount++
-	rec.FenceCount = e.self.FenceCount
-	txn := &wire.Txn{If: []wire.Guard{e.Guard()},
-		Then: []wire.Change{{PutKey: Key, Value: wire.Encode(&rec), Lease: e.leaseID}}}
+	txn := &wire.Txn{If: []wire.Guard{e.Guard()}, Then: []wire.Change{e.NextKeyChange()}}
 	verifyAndRetry := func() {
 		e.VerifyLeadership(func(ok bool) {
 			if ok && e.keyVersion == versionBefore {
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -313,6 +313,7 @@
 		"mute":           (*script).doMute,
 		"copies":         (*script).doCopies,
 		"copy-orders":    (*script).doCopyOrders,
+		"copy-txns":      (*script).doCopyTxns,
 		"no-boot":        (*script).doNoBoot,
 		"hang":           (*script).doHang,
 		"dead":           (*script).doDead,
--- a/internal/sim/script_expect.go
+++ b/internal/sim/script_expect.go
@@ -27,6 +27,7 @@
 	"looks":         (*script).expectLooks,
 	"kept-copies":   (*script).expectKeptCopies,
 	"order-copies":  (*script).expectOrderCopies,
+	"txn-copies":    (*script).expectTxnCopies,
 	"exited-tasks":  (*script).expectExitedTasks,
 	"report-size":   (*script).expectReportSize,
 	"late-txns":     (*script).expectLateTxns,
@@ -233,11 +234,16 @@
 
 // expectOrderCopies checks that at least "executed" copies of command batches matched token and
 // session, and at least "refused" did not.
-func (s *script) expectOrderCopies(a args) error {
-	w := s.world
-	copier := w.orderCopier
+func (s *script) expectOrderCopies(a args) error { return s.expectCopies(s.world.orderCopier, a) }
+
+// expectTxnCopies checks that at least "refused" copies of transactions had a condition that did not
+// hold, and at least "executed" had none.
+func (s *script) expectTxnCopies(a args) error { return s.expectCopies(s.world.txnCopier, a) }
+
+// expectCopies checks how many copies were executed and refused.
+func (s *script) expectCopies(copier *messageCopier, a args) error {
 	if copier == nil || copier.executed < int(a.number("executed", 0)) || copier.refused < int(a.number("refused", 0)) {
-		return fmt.Errorf("at %v s: copies of command batches: %+v, fewer than expected", w.now.Seconds(), copier)
+		return fmt.Errorf("at %v s: copies: %+v, fewer than expected", s.world.now.Seconds(), copier)
 	}
 	return nil
 }
--- a/internal/sim/script_network.go
+++ b/internal/sim/script_network.go
@@ -115,9 +115,14 @@
 // "min" and "max" seconds later.
 func (s *script) doCopyOrders(a args) func() {
 	w := s.world
-	return func() {
-		w.orderCopier = &orderCopier{copies: int(a.number("copies", 1)), minDelay: a.duration("min", 2), maxDelay: a.duration("max", 60), rng: rand.New(rand.NewPCG(uint64(w.now), 8))}
-	}
+	return func() { w.orderCopier = newMessageCopier(w, a) }
+}
+
+// doCopyTxns carries out copies of every transaction that the state service has answered, between
+// "min" and "max" seconds later.
+func (s *script) doCopyTxns(a args) func() {
+	w := s.world
+	return func() { w.txnCopier = newMessageCopier(w, a) }
 }
 
 // doCopies delivers a share of the reports a second time: later at a random controller or, with
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -470,6 +470,9 @@
 			return func() { done(o, &wire.TxnAnswer{}) }
 		}
 		o, a := s.txn(t)
+		if o == store.OK {
+			s.scheduleTxnCopies(t)
+		}
 		if loseAnswer {
 			return func() { c.env.After(1500*millisecond, func() { done(store.Unknown, &wire.TxnAnswer{}) }) }
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -116,7 +116,8 @@
 	failingJobs   map[string]bool        // jobs whose tasks fail on every machine
 	prober        *prober                // nil: users don't probe
 	reportCopier  *reportCopier          // nil: reports are not copied
-	orderCopier   *orderCopier           // nil: command batches are not copied
+	orderCopier   *messageCopier         // nil: command batches are not copied
+	txnCopier     *messageCopier         // nil: transactions are not copied
 	heldMessages  map[[2]string][]func() // messages held on cut links
 }
 
