A restarted worker gets the leader's token at once

Change: a worker whose restart is proven gets the present token at once and the raised one as soon as that is committed, instead of with its next report.

All controllers are away, a machine restarts, and the copy comes before any leader has spoken to the worker; its token and session are those of the beginning.

--- a/internal/controller/order_fence.go
+++ b/internal/controller/order_fence.go
@@ -104,6 +104,7 @@
 	c.fence = orderFence{raisedAt: now, queuedToken: token}
 	c.committer.add(change.PutKey, class, func() ([]wire.Change, bool) { return []wire.Change{change}, true }, c.whileInTerm(func() {
 		c.elector.AdoptToken(token)
+		c.sendTokenToRestarted()
 		slog.Debug("token raised", "term", c.term, "token", token)
 	}))
 }
--- a/internal/controller/restarts.go
+++ b/internal/controller/restarts.go
@@ -11,9 +11,10 @@
 
 // A worker that restarts under its name and address begins with session 1, sequence number 0 and
 // token 0, and has forgotten its attempts. It would execute a copy of any launch of its first
-// session again, as long as it has not seen a higher token. Therefore nothing that gives it a token
-// may be sent to a restarted worker before this leader's token is higher than those of all direct
-// launches to the machine.
+// session again, as long as it has not seen a higher token. So it gets this leader's token as soon as
+// the restart is proven, and once more when the token has been raised above those of all direct
+// launches to the machine. Before the restart is proven, no probe gives it a token, which would hide
+// the restart.
 //
 // A restart is proven by a message of the worker that contradicts an earlier one, since within one
 // life of the worker neither its token nor its sequence number ever decreases, and an attempt that
@@ -97,42 +98,63 @@
 	}
 	slog.Info("machine restarted with a reset session counter", "machine", m.ID, "session", evidence.Session, "was", m.Session, "tasks", len(m.Placements))
 	m.Restarted, m.Draining = true, true
+	m.RestartedSession = evidence.Session
 	// The worker's lease began anew, at the latest now.
 	m.LastCommandAt = c.env.Now()
 	c.fenceLaunchesOf(m, c.env.Now())
+	c.sendToken(m, c.env.Now())
 }
 
 // fenceLaunchesOf requests a higher token if the present one is not higher than those of all direct
-// launches to a restarted machine. It reports whether it is. Machines that restart together share
-// a raise.
-func (c *Core) fenceLaunchesOf(m *sched.Machine, now Micros) bool {
-	if m.LastLaunchToken < c.elector.Token() {
-		return true
-	}
+// launches to a restarted machine. Machines that restart together share a raise.
+func (c *Core) fenceLaunchesOf(m *sched.Machine, now Micros) {
 	queued := m.LastLaunchToken < c.fence.queuedToken && now-c.fence.raisedAt < restartRaiseInterval
-	if !queued {
-		c.fence.restart = true
-		c.maintainOrderFence(now)
-		c.committer.startTransaction()
+	if queued || m.LastLaunchToken < c.elector.Token() {
+		return
 	}
-	return false
+	c.fence.restart = true
+	c.maintainOrderFence(now)
+	c.committer.startTransaction()
 }
 
 // fenceRetryInterval is the minimum time between two attempts to give a restarted worker the token.
 const fenceRetryInterval = clock.Second
 
-// handleRestartedReport handles a report of a restarted machine, which is not answered. Once this
-// leader's token is higher than those of all direct launches to the machine, the worker gets it with
-// an empty command batch and refuses the launches from then on.
+// handleRestartedReport handles a report of a restarted machine, which is not answered.
 func (c *Core) handleRestartedReport(m *sched.Machine, report *wire.Report, now Micros) {
-	token := c.elector.Token()
-	if !c.fenceLaunchesOf(m, now) || report.Token >= token || now-m.LastProbeAt < fenceRetryInterval || !c.commandPathFree(m) {
+	m.RestartedSession = max(m.RestartedSession, report.Session)
+	c.fenceLaunchesOf(m, now)
+	if report.Token < c.elector.Token() && now-m.LastProbeAt >= fenceRetryInterval {
+		c.sendToken(m, now)
+	}
+}
+
+// sendTokenToRestarted gives restarted machines the token that was raised for them.
+func (c *Core) sendTokenToRestarted() {
+	now := c.env.Now()
+	for _, m := range c.sortedMachines {
+		if m.Restarted && m.LastLaunchToken < c.elector.Token() {
+			c.sendToken(m, now)
+		}
+	}
+}
+
+// sendToken gives a restarted worker this leader's token with an empty command batch. From then on the
+// worker refuses all launches under lower tokens. If these are all launches that were sent to it, the
+// answer proves absent what it does not list.
+func (c *Core) sendToken(m *sched.Machine, now Micros) {
+	if !c.commandPathFree(m) {
 		return
 	}
 	m.LastProbeAt = now
-	orders := &wire.Orders{Token: token, Session: report.Session, Commands: []wire.Command{}}
+	token := c.elector.Token()
+	orders := &wire.Orders{Token: token, Session: m.RestartedSession, Commands: []wire.Command{}}
 	c.sendCommandBatch(m, orders, func(outcome store.Outcome, answer *wire.Report) {
-		if outcome == store.OK && answer != nil && answer.Machine == m.ID && answer.Token == token {
+		if answer == nil || answer.Machine != m.ID {
+			return
+		}
+		m.RestartedSession = answer.Session
+		if outcome == store.OK && answer.Token == token && m.LastLaunchToken < token {
 			c.endForgottenPlacements(m, answer)
 		}
 	})
--- a/internal/sched/model.go
+++ b/internal/sched/model.go
@@ -240,6 +240,7 @@
 	LastProbeAt           Micros          // when the latest probe was sent
 	LastRestartCheckAt    Micros          // when the machine was last checked for a restart of its worker
 	Restarted             bool            // the worker has restarted: it has forgotten its token and its attempts
+	RestartedSession      uint64          // session of a restarted worker, as last shown
 
 	// Token is the highest token in the worker's reports to this leader, 0 before it has
 	// acknowledged the leader's first one.
--- a/internal/sim/copies.go
+++ b/internal/sim/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"lilacthread/internal/store"
 	"lilacthread/wire"
@@ -48,6 +49,10 @@
 
 // scheduleOrderCopies schedules the copies of a command batch that has reached its worker.
 func (w *World) scheduleOrderCopies(x *Worker, body []byte) {
+	isLaunch := func(c wire.Command) bool { return c.Op == wire.OpStart }
+	if w.copyOrdersAtRestart && slices.ContainsFunc(decodeOrders(body).Commands, isLaunch) {
+		x.receivedLaunches = append(x.receivedLaunches, body)
+	}
 	w.orderCopier.schedule(w, func(count func(store.Outcome)) {
 		x.runWhenActive(func() {
 			outcome, _ := x.executeOrders(decodeOrders(body))
@@ -63,3 +68,16 @@
 		count(outcome)
 	})
 }
+
+// restartCopyDelay is how long after a restart copies arrive with "copy-orders at-restart": before
+// the worker has had an answer to its first report.
+const restartCopyDelay = millisecond / 10
+
+// scheduleCopiesAtRestart schedules a copy of each command batch with launches that the worker received
+// before it restarted.
+func (x *Worker) scheduleCopiesAtRestart() {
+	for _, body := range x.receivedLaunches {
+		x.world.After(restartCopyDelay, func() { x.runWhenActive(func() { x.executeOrders(decodeOrders(body)) }) })
+	}
+	x.receivedLaunches = nil
+}
--- a/internal/sim/script_chaos.go
+++ b/internal/sim/script_chaos.go
@@ -15,7 +15,10 @@
 //     controllers, and releases executed late;
 //   - up to 12: lost answers of transactions, machines that reach no controller, and copies of
 //     reports that are kept until the next election;
-//   - up to 14: controllers that freeze while their clocks run on.
+//   - up to 14: controllers that freeze while their clocks run on;
+//   - up to 17: machines that restart, perhaps twice, while their reports are lost, machines that
+//     receive nothing for two seconds as jobs arrive, again and again, and controllers that are back
+//     within a tenth of a second.
 type chaosPlan struct {
 	script *script
 	rng    *rand.Rand
@@ -166,5 +169,16 @@
 		c.scheduleLine(at, "freeze leader for=%d", seconds)
 	case 29:
 		c.scheduleLine(at, "freeze follower for=%d", seconds)
+	case 30: // the first reports of the restarted worker are lost
+		c.scheduleLine(at, "mute %s for=0.%d", target, 1+c.rng.IntN(9))
+		c.scheduleLine(at, "reborn %s", target)
+		if c.rng.IntN(2) == 0 {
+			c.scheduleLine(at+Micros(c.rng.Int64N(int64(2*second))), "reborn %s", target)
+		}
+	case 31:
+		c.scheduleLine(at, "repeat deaf %s for=2 every=%d count=%d", target, 4+c.rng.IntN(8), 1+c.rng.IntN(3))
+		c.scheduleJob(at + 50*millisecond)
+	case 32:
+		c.scheduleLine(at, "kill leader for=0.0%d", 1+c.rng.IntN(9))
 	}
 }
--- a/internal/sim/script_machines.go
+++ b/internal/sim/script_machines.go
@@ -25,9 +25,16 @@
 	return func() { s.worker(a).terminate() }
 }
 
-// doReborn restarts a machine at once, with its session counter reset.
+// doReborn restarts a machine at once, with its session counter reset. With the flag "reporting" it
+// reports at once, too.
 func (s *script) doReborn(a args) func() {
-	return func() { s.worker(a).Restart() }
+	return func() {
+		machine := s.worker(a)
+		machine.Restart()
+		if a.hasFlag("reporting") {
+			machine.report()
+		}
+	}
 }
 
 // doSick makes a machine fail every task.
@@ -68,6 +75,9 @@
 				w.addHostFor(w.outboundLost, id, a.duration("for", 10))
 			case "reborn":
 				machine.Restart()
+				if a.hasFlag("reporting") {
+					machine.report()
+				}
 			case "sick":
 				machine.Unhealthy = true
 				w.After(a.duration("for", 10), func() { machine.Unhealthy = false })
--- a/internal/sim/script_network.go
+++ b/internal/sim/script_network.go
@@ -112,10 +112,17 @@
 }
 
 // doCopyOrders delivers copies of every command batch that is sent directly to a worker, between
-// "min" and "max" seconds later.
+// "min" and "max" seconds later or, with the flag "at-restart" and if it holds launches, as soon as the
+// worker has restarted.
 func (s *script) doCopyOrders(a args) func() {
 	w := s.world
-	return func() { w.orderCopier = newMessageCopier(w, a) }
+	return func() {
+		if a.hasFlag("at-restart") {
+			w.copyOrdersAtRestart = true
+			return
+		}
+		w.orderCopier = newMessageCopier(w, a)
+	}
 }
 
 // doCopyTxns carries out copies of every transaction that the state service has answered, between
--- a/internal/sim/worker.go
+++ b/internal/sim/worker.go
@@ -28,6 +28,7 @@
 	taskOrder           []string            // keys of tasks in the order of their start
 	images              map[string]bool     // images that are in the cache
 	reclaimAt           Micros              // when the cloud reclaims the spot machine; 0: no notice
+	receivedLaunches    [][]byte            // command batches with launches to copy at the next restart, see World.copyOrdersAtRestart
 	backlog             []func()            // work that waits until a suspended machine is resumed
 
 	lastReportAt     Micros // when the latest report was sent
@@ -90,6 +91,7 @@
 	x.killAll()
 	x.incarnation++
 	x.session, x.seq, x.token, x.leaseRenewedAt, x.images = 1, 0, 0, x.world.now, map[string]bool{}
+	x.scheduleCopiesAtRestart()
 }
 
 // terminate ends the machine and everything on it.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -112,14 +112,16 @@
 	ReportChanges bool
 	server        *RealTimeServer // nil in virtual time
 	cuts          map[[2]string]Cut
-	inboundLost   map[string]bool        // hosts that no message reaches
-	outboundLost  map[string]bool        // machines whose reports reach no controller
-	failingJobs   map[string]bool        // jobs whose tasks fail on every machine
-	prober        *prober                // nil: users don't probe
-	reportCopier  *reportCopier          // nil: reports are not copied
-	orderCopier   *messageCopier         // nil: command batches are not copied
-	txnCopier     *messageCopier         // nil: transactions are not copied
-	heldMessages  map[[2]string][]func() // messages held on cut links
+	inboundLost   map[string]bool // hosts that no message reaches
+	outboundLost  map[string]bool // machines whose reports reach no controller
+	failingJobs   map[string]bool // jobs whose tasks fail on every machine
+	prober        *prober         // nil: users don't probe
+	reportCopier  *reportCopier   // nil: reports are not copied
+	orderCopier   *messageCopier  // nil: command batches are not copied
+	txnCopier     *messageCopier  // nil: transactions are not copied
+	// copyOrdersAtRestart makes copies of a worker's command batches arrive at once when it restarts.
+	copyOrdersAtRestart bool
+	heldMessages        map[[2]string][]func() // messages held on cut links
 }
 
 // NewWorld returns a simulated environment with the given number of controllers, which
