--- a/internal/carrier/relay.go
+++ b/internal/carrier/relay.go
@@ -39,8 +39,8 @@
 	keptSince    Micros // since when its reports are forwarded here although another controller is responsible; 0 if they are not
 	// lastAnswered is the worker's latest report that the leader answered through this
 	// node; nil if the leader may not have it any more.
-	lastAnswered *wire.Report
-	answeredTerm uint64 // term of that leader
+	lastAnswered  *wire.Report
+	answeredToken uint64 // token of that answer
 }
 
 // pendingReport is a report whose answer a worker waits for.
@@ -183,7 +183,7 @@
 func (r *Relay) buildItem(p *pendingReport) peer.RelayedReport {
 	report := p.report
 	item := peer.RelayedReport{Machine: report.Machine, Session: report.Session, Seq: report.Seq, Token: report.Token}
-	if w := r.workers[report.Machine]; !p.fullRequested && w != nil && onlyConfirmsLiveness(report, w.lastAnswered) && report.Token == w.answeredTerm {
+	if w := r.workers[report.Machine]; !p.fullRequested && w != nil && onlyConfirmsLiveness(report, w.lastAnswered) && report.Token == w.answeredToken {
 		item.BaseSeq = w.lastAnswered.Seq
 		return item
 	}
@@ -272,7 +272,7 @@
 			break
 		}
 		if w != nil {
-			w.lastAnswered, w.answeredTerm = p.report, answer.Token
+			w.lastAnswered, w.answeredToken = p.report, answer.Token
 		}
 		p.reply(reply)
 		return
--- a/internal/sim/script.go
+++ b/internal/sim/script.go
@@ -69,6 +69,15 @@
 	return Micros(a.number(key, defaultValue) * 1e6)
 }
 
+// unlimited is the maximum of a range without the key "max" whose values have no limit.
+const unlimited = 1_000_000_000
+
+// outsideRange reports whether the value is below the value of the key "min", by default 0, or above
+// that of "max".
+func (a args) outsideRange(value, defaultMax int) bool {
+	return value < int(a.number("min", 0)) || value > int(a.number("max", float64(defaultMax)))
+}
+
 // cutMode returns how a link is cut: CutHold with the flag hold, otherwise CutDrop.
 func (a args) cutMode() Cut {
 	if a.hasFlag("hold") {
--- a/internal/sim/script_expect.go
+++ b/internal/sim/script_expect.go
@@ -63,7 +63,7 @@
 // expectMachines checks that the number of machines is between min and max.
 func (s *script) expectMachines(a args) error {
 	w := s.world
-	if count := len(w.Cloud.Machines); count > int(a.number("max", 1e9)) || count < int(a.number("min", 0)) {
+	if count := len(w.Cloud.Machines); a.outsideRange(count, unlimited) {
 		return fmt.Errorf("at %v s: %d machines, outside the expected range", w.now.Seconds(), count)
 	}
 	return nil
@@ -135,7 +135,7 @@
 // between min and max.
 func (s *script) expectValue(a args) error {
 	w := s.world
-	if w.State.LargestValue > int(a.number("max", 1e9)) || w.State.LargestValue < int(a.number("min", 0)) {
+	if a.outsideRange(w.State.LargestValue, unlimited) {
 		return fmt.Errorf("at %v s: the largest value has %d bytes, outside the expected range", w.now.Seconds(), w.State.LargestValue)
 	}
 	return nil
@@ -145,7 +145,7 @@
 // between min and max.
 func (s *script) expectRefusedPolls(a args) error {
 	w := s.world
-	if w.RefusedPolls > int(a.number("max", 0)) || w.RefusedPolls < int(a.number("min", 0)) {
+	if a.outsideRange(w.RefusedPolls, 0) {
 		return fmt.Errorf("at %v s: %d polls were refused, outside the expected range", w.now.Seconds(), w.RefusedPolls)
 	}
 	return nil
@@ -155,7 +155,7 @@
 // between min and max.
 func (s *script) expectRequests(a args) error {
 	w := s.world
-	if w.State.PeakRequests > int(a.number("max", 0)) || w.State.PeakRequests < int(a.number("min", 0)) {
+	if a.outsideRange(w.State.PeakRequests, 0) {
 		return fmt.Errorf("at %v s: %d requests to the state service in its busiest second, outside the expected range", w.now.Seconds(), w.State.PeakRequests)
 	}
 	return nil
@@ -164,7 +164,7 @@
 // expectTerm checks that the number of elections so far is between min and max.
 func (s *script) expectTerm(a args) error {
 	w := s.world
-	if elections := w.State.elections; elections < int(a.number("min", 0)) || elections > int(a.number("max", 1e9)) {
+	if elections := w.State.elections; a.outsideRange(elections, unlimited) {
 		return fmt.Errorf("at %v s: there were %d elections, outside the expected range", w.now.Seconds(), elections)
 	}
 	return nil
@@ -178,7 +178,7 @@
 	if a.hasFlag("orders") {
 		relayed = w.RelayedCommandBatches
 	}
-	if relayed < int(a.number("min", 0)) || relayed > int(a.number("max", 1e9)) {
+	if a.outsideRange(relayed, unlimited) {
 		return fmt.Errorf("at %v s: %d messages relayed, outside the expected range", w.now.Seconds(), relayed)
 	}
 	return nil
@@ -189,7 +189,7 @@
 func (s *script) expectCarried(a args) error {
 	w := s.world
 	workers := w.Leader().core.Relays().WorkersPerRelay[a.word(1)]
-	if workers < int(a.number("min", 0)) || workers > int(a.number("max", 1e9)) {
+	if a.outsideRange(workers, unlimited) {
 		return fmt.Errorf("at %v s: %s relays for %d workers, outside the expected range", w.now.Seconds(), a.word(1), workers)
 	}
 	return nil
@@ -260,7 +260,7 @@
 			}
 		}
 	}
-	if count > int(a.number("max", 0)) || count < int(a.number("min", 0)) {
+	if a.outsideRange(count, 0) {
 		return fmt.Errorf("at %v s: workers keep %d exited tasks on record, outside the expected range", w.now.Seconds(), count)
 	}
 	return nil
@@ -270,7 +270,7 @@
 // JSON.
 func (s *script) expectReportSize(a args) error {
 	w := s.world
-	if w.LargestReport > int(a.number("max", wire.MaxBody)) || w.LargestReport < int(a.number("min", 0)) {
+	if a.outsideRange(w.LargestReport, wire.MaxBody) {
 		return fmt.Errorf("at %v s: the largest report has %d bytes, outside the expected range", w.now.Seconds(), w.LargestReport)
 	}
 	return nil
@@ -285,7 +285,7 @@
 	if a.hasFlag("besides-lost") {
 		starts -= w.tasksLost
 	}
-	if starts > int(a.number("max", 1e9)) || starts < int(a.number("min", 0)) {
+	if a.outsideRange(starts, unlimited) {
 		return fmt.Errorf("at %v s: %d tasks were started, outside the expected range", w.now.Seconds(), starts)
 	}
 	return nil
@@ -314,7 +314,7 @@
 // min and max.
 func (s *script) expectRented(a args) error {
 	w := s.world
-	if rented := w.Cloud.rentedCount; rented > int(a.number("max", 1e9)) || rented < int(a.number("min", 0)) {
+	if rented := w.Cloud.rentedCount; a.outsideRange(rented, unlimited) {
 		return fmt.Errorf("at %v s: %d machines were rented, outside the expected range", w.now.Seconds(), rented)
 	}
 	return nil
@@ -339,7 +339,7 @@
 // between min and max.
 func (s *script) expectRefusedTxns(a args) error {
 	w := s.world
-	if w.State.RefusedTxns > int(a.number("max", 0)) || w.State.RefusedTxns < int(a.number("min", 0)) {
+	if a.outsideRange(w.State.RefusedTxns, 0) {
 		return fmt.Errorf("at %v s: %d transactions were refused, outside the expected range", w.now.Seconds(), w.State.RefusedTxns)
 	}
 	return nil
