The scale run counts changes and requests to the state service

Its report shows them a second, and the changes for each task started, so that the cost of a condition or a change more in each transaction can be measured.

--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -50,6 +50,8 @@
 	RedirectedReports uint64  `json:"Redirected"` // answered with the name of another controller
 	FailedReports     uint64  `json:"Failed"`     // unanswered, or answered with neither success nor a redirect
 	LeasesLost        int     // leases that expired at workers with tasks
+	StateChanges      int     // puts and deletes that the state service carried out
+	StateRequests     int     // requests to the state service
 	// WorkerBytesPerSecond counts the bytes per worker in the bodies of reports, their
 	// answers and command batches.
 	WorkerBytesPerSecond float64 `json:"WorkerBytes"`
@@ -79,6 +81,8 @@
 	startedTasks  int
 	runningTasks  int
 	leasesLost    int
+	stateChanges  int
+	stateRequests int
 	traffic       sim.Traffic
 }
 
@@ -104,6 +108,7 @@
 	s.processes = append(s.processes, self)
 	d.simServer.WithWorld(func(w *sim.World) {
 		s.startedTasks, s.runningTasks, s.leasesLost, s.traffic = w.Checker.TaskStarts(), w.RunningTasks(), w.LeasesLost, d.simServer.Traffic
+		s.stateChanges, s.stateRequests = w.State.Changes, w.State.Requests
 	})
 	return s
 }
@@ -114,7 +119,7 @@
 	r := Result{Phase: p.Name, Seconds: seconds, HasFault: p.hasFault(), JobRate: float64(after.submittedJobs-before.submittedJobs) / seconds, StartRate: float64(after.startedTasks-before.startedTasks) / seconds, RunningTasks: after.runningTasks,
 		ReportRate:        float64(after.traffic.Reports-before.traffic.Reports) / seconds,
 		RedirectedReports: after.traffic.Redirected - before.traffic.Redirected, FailedReports: after.traffic.Failed - before.traffic.Failed,
-		LeasesLost: after.leasesLost - before.leasesLost,
+		LeasesLost: after.leasesLost - before.leasesLost, StateChanges: after.stateChanges - before.stateChanges, StateRequests: after.stateRequests - before.stateRequests,
 		WorkerBytesPerSecond: float64(after.traffic.ReportBytes+after.traffic.AnswerBytes+after.traffic.OrderBytes-
 			before.traffic.ReportBytes-before.traffic.AnswerBytes-before.traffic.OrderBytes) / seconds / float64(d.Workers)}
 	leader := d.leaderIndex()
@@ -166,13 +171,22 @@
 	}
 }
 
+// changesPerStart returns the number of changes in the state service for each task that was started,
+// 0 if none was.
+func (r *Result) changesPerStart() float64 {
+	if r.StartRate == 0 {
+		return 0
+	}
+	return float64(r.StateChanges) / (r.StartRate * r.Seconds)
+}
+
 // Print writes the report as tables.
 func (r *Report) Print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "phase\tstarts/s\trunning\treports/s\tredirected\tunanswered\tleases lost\tB/s a worker\tstand-ins cores\twaited\t")
+	fmt.Fprintln(w, "phase\tstarts/s\trunning\treports/s\tredirected\tunanswered\tleases lost\tstate changes/s\ta start\trequests/s\tB/s a worker\tstand-ins cores\twaited\t")
 	for _, p := range r.Phases {
-		fmt.Fprintf(w, "%s\t%.0f\t%d\t%.0f\t%d\t%d\t%d\t%.0f\t%.2f\t%.2f\t\n", p.Phase, p.StartRate, p.RunningTasks, p.ReportRate,
-			p.RedirectedReports, p.FailedReports, p.LeasesLost, p.WorkerBytesPerSecond, p.Harness.Cores, p.Harness.CPUWait)
+		fmt.Fprintf(w, "%s\t%.0f\t%d\t%.0f\t%d\t%d\t%d\t%.0f\t%.3f\t%.0f\t%.0f\t%.2f\t%.2f\t\n", p.Phase, p.StartRate, p.RunningTasks, p.ReportRate,
+			p.RedirectedReports, p.FailedReports, p.LeasesLost, float64(p.StateChanges)/p.Seconds, p.changesPerStart(), float64(p.StateRequests)/p.Seconds, p.WorkerBytesPerSecond, p.Harness.Cores, p.Harness.CPUWait)
 	}
 	fmt.Fprintln(w, "\nphase\tcontroller\tleads\tcores\tby slopes\tof its share\twaited\tMB\tsockets\tof its limit\tKB/s\t")
 	for _, p := range r.Phases {
--- a/internal/sim/state.go
+++ b/internal/sim/state.go
@@ -19,6 +19,8 @@
 type State struct {
 	world            *World
 	revision         uint64 // version of the latest transaction
+	Changes          int    // puts and deletes carried out so far
+	Requests         int    // requests so far
 	items            map[string]*wire.Item
 	groupKeys        map[string]string // machine -> key of the group record ("g/") that names it
 	leases           map[uint64]*lease
@@ -164,6 +166,7 @@
 // apply makes changes as one revision and answers the watches that they concern.
 func (s *State) apply(changes []wire.Change) {
 	s.revision++
+	s.Changes += len(changes)
 	for _, c := range changes {
 		if c.DeleteKey != "" {
 			s.updateGroupKeys(c.DeleteKey, nil)
@@ -380,6 +383,7 @@
 
 // countRequest counts a request for PeakRequests.
 func (s *State) countRequest() {
+	s.Requests++
 	if current := s.world.now / second; current != s.currentSecond {
 		s.currentSecond, s.requestsInSecond = current, 0
 	}
