--- a/internal/controller/order_fence_test.go
+++ b/internal/controller/order_fence_test.go
@@ -115,3 +115,31 @@
 		t.Errorf("the token fell to %d", elector.Token())
 	}
 }
+
+// TestUnwantedLaunchIsGivenUp guards against a cancelled launch whose command batch was lost and whose
+// placement keeps the worker's lease from being renewed until its session ends (review/6).
+func TestUnwantedLaunchIsGivenUp(t *testing.T) {
+	c := newFencingCore(7)
+	m := &sched.Machine{ID: "m-000001", Session: 1, Placements: map[string]*sched.Placement{}, Type: &wire.MachineType{}}
+	p := newLaunch(m, 0)
+	p.Sent, p.DirectUnanswered, p.InTaskRecord = true, true, true
+	c.passScheduled = true // the environment has no timers
+	c.recordDirectLaunches(m, []wire.Command{{Op: wire.OpStart, Task: p.Task, Attempt: p.Attempt}})
+	c.giveUpUnansweredLaunch(m, p)
+	if c.fence.needed {
+		t.Error("a higher token is requested for a launch that is sent again")
+	}
+	p.Job = nil // its job has ended
+	c.giveUpUnansweredLaunch(m, p)
+	if !c.fence.needed || !c.fence.urgent {
+		t.Error("no higher token is requested for a launch that is not wanted any more")
+	}
+	if m.Placements[p.Task] != p {
+		t.Error("the placement ends although the worker may still execute the launch")
+	}
+	recordToken(m, 8)
+	c.giveUpUnansweredLaunch(m, p)
+	if m.Placements[p.Task] == p {
+		t.Error("the placement remains although the worker refuses the launch")
+	}
+}
--- a/internal/controller/restarts_test.go
+++ b/internal/controller/restarts_test.go
@@ -3,10 +3,35 @@
 import (
 	"testing"
 
+	"lilacthread/internal/carrier"
 	"lilacthread/internal/sched"
+	"lilacthread/internal/store"
 	"lilacthread/wire"
 )
 
+// recordingEnv records the command batches that a controller sends.
+type recordingEnv struct {
+	frozenEnv
+	orders []*wire.Orders
+}
+
+func (e *recordingEnv) SendOrders(_ string, orders *wire.Orders, _ func(store.Outcome, *wire.Report)) {
+	e.orders = append(e.orders, orders)
+}
+
+// TestProbesGiveNoToken guards against a probe that gives a restarted worker the present token, which
+// hides the restart and makes the worker accept copies of earlier launches (review/4).
+func TestProbesGiveNoToken(t *testing.T) {
+	c := newFencingCore(7)
+	env := &recordingEnv{}
+	c.env, c.router = env, carrier.NewRouter(relayHost{c}, 7, 1)
+	m := &sched.Machine{ID: "m-000001", Session: 2, Token: 7}
+	c.probe(m, func(bool) {})
+	if len(env.orders) != 1 || env.orders[0].Token != 0 || env.orders[0].Session != 2 || len(env.orders[0].Commands) != 0 {
+		t.Errorf("the probe is %+v", env.orders)
+	}
+}
+
 // TestRestartEvidence guards against a restarted worker that is taken for the same one, and against a
 // late copy of a report that is taken for a restart (review/4).
 func TestRestartEvidence(t *testing.T) {
