--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -28,13 +28,14 @@
 
 // Quantiles summarizes a distribution. Worst is its largest value.
 type Quantiles struct {
-	Count           int64
-	P50, P99, Worst float64
+	Count                int64
+	P50, P95, P99, Worst float64
 }
 
 // newQuantiles returns the quantiles of a histogram, divided by unit.
 func newQuantiles(histogram *hdrhistogram.Histogram, unit float64) Quantiles {
-	return Quantiles{histogram.TotalCount(), float64(histogram.ValueAtQuantile(50)) / unit, float64(histogram.ValueAtQuantile(99)) / unit, float64(histogram.Max()) / unit}
+	at := func(quantile float64) float64 { return float64(histogram.ValueAtQuantile(quantile)) / unit }
+	return Quantiles{histogram.TotalCount(), at(50), at(95), at(99), float64(histogram.Max()) / unit}
 }
 
 // Result holds the measurements of a phase. Rates are per second; counts cover the measured
@@ -195,15 +196,15 @@
 				c.CPUWait, c.ResidentMB, c.Sockets, float64(c.Sockets)/r.Scenario.Sockets, c.KBps)
 		}
 	}
-	fmt.Fprintln(w, "\npriority\tjobs\tstart p50 s\tp99 s\tworst s\t")
+	fmt.Fprintln(w, "\npriority\tjobs\tstart p50 s\tp95 s\tp99 s\tworst s\t")
 	for _, priority := range []string{"prod", "urgent", "normal"} {
 		q := r.Waits[priority]
-		fmt.Fprintf(w, "%s\t%d\t%.2f\t%.2f\t%.2f\t\n", priority, q.Count, q.P50, q.P99, q.Worst)
+		fmt.Fprintf(w, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t\n", priority, q.Count, q.P50, q.P95, q.P99, q.Worst)
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(out, "\nsubmissions accepted: %d, p50 %.3f s, p99 %.3f s, worst %.3f s; %d told to come back; unfinished: %d; rules broken: %d %v\n",
-		r.AcceptLatency.Count, r.AcceptLatency.P50, r.AcceptLatency.P99, r.AcceptLatency.Worst, r.Refused, r.Unfinished, len(r.Violations), r.Violations)
+	_, err := fmt.Fprintf(out, "\nsubmissions accepted: %d, p50 %.3f s, p95 %.3f s, p99 %.3f s, worst %.3f s; %d told to come back; unfinished: %d; rules broken: %d %v\n",
+		r.AcceptLatency.Count, r.AcceptLatency.P50, r.AcceptLatency.P95, r.AcceptLatency.P99, r.AcceptLatency.Worst, r.Refused, r.Unfinished, len(r.Violations), r.Violations)
 	return err
 }
